--- /dev/null
+++ b/src/http/httpmessage.cpp
@@ -0,0 +1,115 @@
+#include "http/httpmessage.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace bronzeshed {
+
+namespace {
+
+std::string decodePercent(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned code = 0;
+        const char *digits = text.data() + i + 1;
+        const bool escaped = text[i] == '%' && i + 2 < text.size();
+        if (escaped && std::from_chars(digits, digits + 2, code, 16).ptr == digits + 2) {
+            decoded += static_cast<char>(code);
+            i += 2;
+        } else {
+            decoded += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return decoded;
+}
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    const auto same = [](char a, char b) {
+        return std::tolower(static_cast<unsigned char>(a))
+                == std::tolower(static_cast<unsigned char>(b));
+    };
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
+}
+
+void HttpHeaders::add(std::string_view name, std::string_view value)
+{
+    this->entries.emplace_back(name, value);
+}
+
+void HttpHeaders::set(std::string_view name, std::string_view value)
+{
+    this->remove(name);
+    this->add(name, value);
+}
+
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(this->entries,
+                  [&](const Field &field) { return equalsIgnoringCase(field.first, name); });
+}
+
+std::optional<std::string> HttpHeaders::find(std::string_view name) const
+{
+    for (const Field &field : this->entries) {
+        if (equalsIgnoringCase(field.first, name)) {
+            return field.second;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t HttpHeaders::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(this->entries.begin(), this->entries.end(), [&](const Field &field) {
+                return equalsIgnoringCase(field.first, name);
+            }));
+}
+
+std::string HttpRequest::path() const
+{
+    return this->target.substr(0, this->target.find('?'));
+}
+
+std::string HttpRequest::queryValue(std::string_view name) const
+{
+    const auto start = this->target.find('?');
+    if (start == std::string::npos) {
+        return {};
+    }
+    std::string_view query = std::string_view(this->target).substr(start + 1);
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+            return decodePercent(pair.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+HttpResponse makeJsonResponse(unsigned status, std::string json)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    response.body = std::move(json);
+    return response;
+}
+
+HttpResponse makeTextResponse(unsigned status, std::string text)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Content-Type", "text/plain; charset=utf-8");
+    response.body = std::move(text);
+    return response;
+}
+
+} // namespace bronzeshed
