--- /dev/null
+++ b/src/agent/agentstate.h
@@ -0,0 +1,43 @@
+#ifndef BRONZESHED_AGENT_AGENTSTATE_H
+#define BRONZESHED_AGENT_AGENTSTATE_H
+
+#include "config/configrecord.h"
+#include "membership/controlports.h"
+#include "platform/instancelist.h"
+
+#include <mutex>
+#include <optional>
+
+namespace bronzeshed {
+
+/** Control state of an agent, shared by its threads. */
+class AgentState : public ControlStateSource
+{
+public:
+    AgentState(InstanceId id, RegionName region, ZoneName zone, Endpoint agentEndpoint);
+
+    ControlState currentState() override;
+    std::uint64_t currentSequence() override;
+    void entryReported(const EntryStatus &status) override;
+
+    /** Takes over a record unless its version is lower. */
+    void adoptRecord(const ConfigRecord &record);
+    void adoptInstances(const InstanceSnapshot &snapshot);
+    /** Another process confirmed the state just now. */
+    void confirm(TimePoint now);
+    /** The newest record. */
+    ConfigRecord record();
+
+private:
+    std::mutex mutex;
+    Member self;
+    bool entryKnown = false;
+    ConfigRecord newest;
+    std::vector<UpstreamInfo> upstreams;
+    std::uint64_t sequence = 1;
+    TimePoint confirmedAt;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -32,7 +32,7 @@
     void set(TimePoint time) { this->current = time; }
 
 private:
-    TimePoint current { std::chrono::hours(1) };
+    TimePoint current{std::chrono::hours(1)};
 };
 
 } // namespace bronzeshed
--- a/src/base/eventring.h
+++ b/src/base/eventring.h
@@ -54,8 +54,7 @@
 
     ~EventRing()
     {
-        while (this->tryPop()) {
-        }
+        while (this->tryPop()) { }
     }
     EventRing(const EventRing &) = delete;
     EventRing &operator=(const EventRing &) = delete;
--- a/src/base/logline.h
+++ b/src/base/logline.h
@@ -24,8 +24,7 @@
     LogLine &add(std::string_view key, std::string_view value);
 
     template<typename Number>
-        requires std::is_arithmetic_v<Number>
-    LogLine &add(std::string_view key, Number value)
+    requires std::is_arithmetic_v<Number> LogLine &add(std::string_view key, Number value)
     {
         this->line << ' ' << key << '=' << value;
         return *this;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -50,7 +50,7 @@
     }
     Endpoint endpoint;
     endpoint.host = text.substr(0, colon);
-    in_addr parsed {};
+    in_addr parsed{};
     if (::inet_pton(AF_INET, endpoint.host.c_str(), &parsed) != 1) {
         throw SettingsError(source + ": '" + endpoint.host + "' is not an IPv4 address", remedy);
     }
@@ -74,13 +74,13 @@
     std::vector<option> options;
     for (const SettingSpec &spec : this->specs) {
         const int argument = spec.isSwitch ? no_argument : required_argument;
-        options.push_back({ spec.name.c_str(), argument, nullptr, 0 });
+        options.push_back({spec.name.c_str(), argument, nullptr, 0});
     }
     const int firstBuiltin = static_cast<int>(options.size());
-    options.push_back({ "help", no_argument, nullptr, 0 });
-    options.push_back({ "version", no_argument, nullptr, 0 });
-    options.push_back({ "check", no_argument, nullptr, 0 });
-    options.push_back({ nullptr, 0, nullptr, 0 });
+    options.push_back({"help", no_argument, nullptr, 0});
+    options.push_back({"version", no_argument, nullptr, 0});
+    options.push_back({"check", no_argument, nullptr, 0});
+    options.push_back({nullptr, 0, nullptr, 0});
 
     bool check = false;
     optind = 0;
@@ -167,14 +167,13 @@
     return parseEndpoint(this->text(name), this->source(name));
 }
 
-std::uint64_t Settings::number(const std::string &name, std::uint64_t low,
-                               std::uint64_t high) const
+std::uint64_t Settings::number(const std::string &name, std::uint64_t low, std::uint64_t high) const
 {
     const auto number = parseNumber(this->text(name));
     if (!number || *number < low || *number > high) {
         throw SettingsError(this->source(name) + ": '" + this->text(name) + "' is out of range",
                             "give a whole number from " + std::to_string(low) + " to "
-                                    + std::to_string(high));
+                                + std::to_string(high));
     }
     return *number;
 }
--- a/src/base/strongid.h
+++ b/src/base/strongid.h
@@ -48,7 +48,7 @@
 {
     std::size_t operator()(const bronzeshed::StrongId<Tag> &id) const
     {
-        return std::hash<std::string> {}(id.value());
+        return std::hash<std::string>{}(id.value());
     }
 };
 
--- a/src/base/strongnumber.h
+++ b/src/base/strongnumber.h
@@ -44,7 +44,7 @@
 {
     std::size_t operator()(const bronzeshed::StrongNumber<Tag> &number) const
     {
-        return std::hash<std::uint64_t> {}(number.value());
+        return std::hash<std::uint64_t>{}(number.value());
     }
 };
 
--- a/src/base/timerservice.cpp
+++ b/src/base/timerservice.cpp
@@ -15,7 +15,7 @@
 TimerId TimerService::add(TimePoint due, Duration period, Callback callback)
 {
     this->lastId = this->lastId.next();
-    this->timers.emplace(Key(due, this->lastId), Timer { std::move(callback), period });
+    this->timers.emplace(Key(due, this->lastId), Timer{std::move(callback), period});
     this->dueTimes.emplace(this->lastId, due);
     return this->lastId;
 }
--- a/src/base/wakeup.cpp
+++ b/src/base/wakeup.cpp
@@ -33,10 +33,10 @@
 {
     const auto bounded = std::max(timeout, Duration::zero());
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(bounded);
-    timespec limit {};
+    timespec limit{};
     limit.tv_sec = seconds.count();
     limit.tv_nsec = (bounded - seconds).count();
-    pollfd entry { this->event.get(), POLLIN, 0 };
+    pollfd entry{this->event.get(), POLLIN, 0};
     if (::ppoll(&entry, 1, &limit, nullptr) > 0) {
         this->clear();
     }
@@ -46,8 +46,8 @@
 {
     std::uint64_t count = 0;
     [[maybe_unused]] const auto size = ::read(this->event.get(), &count, sizeof count);
-    // Cleared after the read, with acquire order: a notify() between the two finds the flag set, and the consumer
-    // still sees its event because it drains the rings after clear().
+    // Cleared after the read, with acquire order: a notify() between the two finds the flag set,
+    // and the consumer still sees its event because it drains the rings after clear().
     this->pending.exchange(false);
 }
 
--- a/src/base/wakeup.h
+++ b/src/base/wakeup.h
@@ -31,7 +31,7 @@
 
 private:
     FileDescriptor event;
-    std::atomic<bool> pending { false };
+    std::atomic<bool> pending{false};
 };
 
 } // namespace bronzeshed
--- /dev/null
+++ b/src/config/configrecord.cpp
@@ -0,0 +1,135 @@
+#include "config/configrecord.h"
+
+#include "base/error.h"
+
+#include <boost/json.hpp>
+
+namespace bronzeshed {
+
+namespace json = boost::json;
+
+namespace {
+
+const std::string Remedy = "restore the record from the audit trail or apply a declaration again";
+
+[[noreturn]] void rejectField(const char *key)
+{
+    throw ProtocolError(std::string("the configuration record has no valid field '") + key + "'",
+                        Remedy);
+}
+
+std::string readText(const json::object &object, const char *key)
+{
+    const auto *value = object.if_contains(key);
+    if (value == nullptr || !value->is_string()) {
+        rejectField(key);
+    }
+    return std::string(value->get_string());
+}
+
+std::int64_t readNumber(const json::object &object, const char *key)
+{
+    const auto *value = object.if_contains(key);
+    if (value == nullptr || !value->is_int64() || value->get_int64() < 0) {
+        rejectField(key);
+    }
+    return value->get_int64();
+}
+
+const json::array &readArray(const json::object &object, const char *key)
+{
+    const auto *value = object.if_contains(key);
+    if (value == nullptr || !value->is_array()) {
+        rejectField(key);
+    }
+    return value->get_array();
+}
+
+const json::object &asObject(const json::value &value, const char *key)
+{
+    if (!value.is_object()) {
+        rejectField(key);
+    }
+    return value.get_object();
+}
+
+AuditEntry readAuditEntry(const json::object &object)
+{
+    AuditEntry entry;
+    entry.timeMs = readNumber(object, "time_ms");
+    entry.operatorName = readText(object, "operator");
+    entry.action = readText(object, "action");
+    entry.from = ConfigVersion(static_cast<std::uint64_t>(readNumber(object, "from")));
+    entry.to = ConfigVersion(static_cast<std::uint64_t>(readNumber(object, "to")));
+    entry.writeId = readText(object, "write_id");
+    return entry;
+}
+
+} // namespace
+
+bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source)
+{
+    bool changed = false;
+    for (const auto &[upstream, mark] : source) {
+        LeaveMark &known = target[upstream];
+        if (mark.counter > known.counter) {
+            known = mark;
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+std::string serializeConfigRecord(const ConfigRecord &record)
+{
+    json::array marks;
+    for (const auto &[upstream, mark] : record.leaveMarks) {
+        marks.push_back({{"upstream", upstream.value()},
+                         {"counter", static_cast<std::int64_t>(mark.counter)},
+                         {"leaving", mark.leaving}});
+    }
+    json::array audit;
+    for (const AuditEntry &entry : record.audit) {
+        audit.push_back({{"time_ms", entry.timeMs},
+                         {"operator", entry.operatorName},
+                         {"action", entry.action},
+                         {"from", static_cast<std::int64_t>(entry.from.value())},
+                         {"to", static_cast<std::int64_t>(entry.to.value())},
+                         {"write_id", entry.writeId}});
+    }
+    const json::object root{{"version", static_cast<std::int64_t>(record.version.value())},
+                            {"declaration", record.declarationText},
+                            {"write_id", record.writeId},
+                            {"leave_marks", std::move(marks)},
+                            {"audit", std::move(audit)}};
+    return json::serialize(root);
+}
+
+ConfigRecord parseConfigRecord(const std::string &text)
+{
+    boost::system::error_code error;
+    const json::value root = json::parse(text, error);
+    if (error || !root.is_object()) {
+        throw ProtocolError("the configuration record is not a JSON object", Remedy);
+    }
+    const json::object &object = root.get_object();
+    ConfigRecord record;
+    record.version = ConfigVersion(static_cast<std::uint64_t>(readNumber(object, "version")));
+    record.declarationText = readText(object, "declaration");
+    record.writeId = readText(object, "write_id");
+    for (const json::value &item : readArray(object, "leave_marks")) {
+        const json::object &mark = asObject(item, "leave_marks");
+        const auto *leaving = mark.if_contains("leaving");
+        if (leaving == nullptr || !leaving->is_bool()) {
+            rejectField("leaving");
+        }
+        const auto counter = static_cast<std::uint64_t>(readNumber(mark, "counter"));
+        record.leaveMarks[UpstreamId(readText(mark, "upstream"))] = {counter, leaving->get_bool()};
+    }
+    for (const json::value &item : readArray(object, "audit")) {
+        record.audit.push_back(readAuditEntry(asObject(item, "audit")));
+    }
+    return record;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/config/configrecord.h
@@ -0,0 +1,63 @@
+#ifndef BRONZESHED_CONFIG_CONFIGRECORD_H
+#define BRONZESHED_CONFIG_CONFIGRECORD_H
+
+#include "base/strongid.h"
+#include "base/strongnumber.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bronzeshed {
+
+/** Whether an upstream is marked as leaving. The mark with the higher counter wins. */
+struct LeaveMark
+{
+    std::uint64_t counter = 0;
+    bool leaving = false;
+
+    bool operator==(const LeaveMark &) const = default;
+};
+
+using LeaveMarks = std::map<UpstreamId, LeaveMark>;
+
+/** Adds the marks of @p source that are newer. @return whether anything changed */
+bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source);
+
+/** One line of the audit trail. */
+struct AuditEntry
+{
+    std::int64_t timeMs = 0; ///< wall-clock time in milliseconds since 1970
+    std::string operatorName;
+    std::string action;
+    ConfigVersion from;
+    ConfigVersion to;
+    std::string writeId;
+
+    bool operator==(const AuditEntry &) const = default;
+};
+
+/** What the store holds under the configuration key. */
+struct ConfigRecord
+{
+    ConfigVersion version;
+    std::string declarationText;
+    std::string writeId; ///< of the write that made this version
+    LeaveMarks leaveMarks;
+    std::vector<AuditEntry> audit; ///< oldest first
+
+    bool operator==(const ConfigRecord &) const = default;
+};
+
+/** Key of the configuration record. */
+inline const std::string ConfigKey = "bronzeshed/config";
+
+std::string serializeConfigRecord(const ConfigRecord &record);
+
+/** @throws ProtocolError naming the malformed field */
+ConfigRecord parseConfigRecord(const std::string &json);
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/config/declaration.cpp
@@ -0,0 +1,195 @@
+#include "config/declaration.h"
+
+#include "base/error.h"
+
+#include <algorithm>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <toml++/toml.h>
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::int64_t MaxMilliseconds = 600000;
+constexpr std::int64_t MaxMeasuringBytesPerSecond = 1000000;
+constexpr int DefaultDeadlineFactor = 10;
+constexpr double MaxServerTimeShare = 0.1;
+
+[[noreturn]] void reject(const toml::node &node, const std::string &problem,
+                         const std::string &remedy)
+{
+    throw DeclarationError("line " + std::to_string(node.source().begin.line) + ": " + problem,
+                           remedy);
+}
+
+void rejectUnknownKeys(const toml::table &table, const std::string &where,
+                       std::initializer_list<std::string_view> known)
+{
+    std::string list;
+    for (const std::string_view key : known) {
+        list += (list.empty() ? "" : ", ") + std::string(key);
+    }
+    for (const auto &[key, node] : table) {
+        if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
+            reject(node, where + " has unknown key '" + std::string(key.str()) + "'",
+                   list.empty() ? "remove it" : "remove it or use one of: " + list);
+        }
+    }
+}
+
+const toml::table &requireTable(const toml::node &node, const std::string &where)
+{
+    if (!node.is_table()) {
+        reject(node, where + " is not a table", "write it as [" + where + "]");
+    }
+    return *node.as_table();
+}
+
+std::optional<std::int64_t> readInteger(const toml::table &table, const std::string &where,
+                                        std::string_view key, std::int64_t low, std::int64_t high)
+{
+    const toml::node *node = table.get(key);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    const auto number = node->value_exact<std::int64_t>();
+    if (!number || *number < low || *number > high) {
+        reject(*node, where + "." + std::string(key) + " is not a whole number in range",
+               "give a number from " + std::to_string(low) + " to " + std::to_string(high));
+    }
+    return number;
+}
+
+std::optional<double> readShare(const toml::table &table, const std::string &where,
+                                std::string_view key, double high)
+{
+    const toml::node *node = table.get(key);
+    if (node == nullptr) {
+        return std::nullopt;
+    }
+    const auto share = node->is_number() ? node->value<double>() : std::nullopt;
+    if (!share || !(*share >= 0.0) || *share > high) {
+        reject(*node, where + "." + std::string(key) + " is not a share in range",
+               "give a number from 0 to " + std::to_string(high));
+    }
+    return share;
+}
+
+void checkName(const toml::node &node, const std::string &kind, std::string_view name)
+{
+    const auto isAllowed
+        = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; };
+    if (name.empty() || name.size() > 64 || !std::all_of(name.begin(), name.end(), isAllowed)) {
+        reject(node, kind + " name '" + std::string(name) + "' is malformed",
+               "use 1 to 64 letters, digits, '-' and '_'");
+    }
+}
+
+MeasuringBudget parseMeasuring(const toml::table &root)
+{
+    MeasuringBudget budget;
+    const toml::node *node = root.get("measuring");
+    if (node == nullptr) {
+        return budget;
+    }
+    const toml::table &table = requireTable(*node, "measuring");
+    rejectUnknownKeys(table, "measuring", {"server_time_share", "bytes_per_second"});
+    budget.serverTimeShare = readShare(table, "measuring", "server_time_share", MaxServerTimeShare)
+                                 .value_or(budget.serverTimeShare);
+    const auto bytes
+        = readInteger(table, "measuring", "bytes_per_second", 0, MaxMeasuringBytesPerSecond);
+    budget.bytesPerSecond = bytes ? static_cast<std::uint64_t>(*bytes) : budget.bytesPerSecond;
+    return budget;
+}
+
+std::set<ServiceName> parseServices(const toml::table &root)
+{
+    std::set<ServiceName> services;
+    const toml::node *node = root.get("service");
+    if (node == nullptr) {
+        throw DeclarationError("there is no service", "add a table such as [service.almanac]");
+    }
+    for (const auto &[key, entry] : requireTable(*node, "service")) {
+        checkName(entry, "service", key.str());
+        const std::string where = "service." + std::string(key.str());
+        rejectUnknownKeys(requireTable(entry, where), where, {});
+        services.insert(ServiceName(std::string(key.str())));
+    }
+    return services;
+}
+
+bool readRepeatable(const toml::table &table, const std::string &where)
+{
+    const toml::node *node = table.get("repeatable");
+    if (node == nullptr || !node->is_boolean()) {
+        reject(node == nullptr ? table : *node, where + ".repeatable is not true or false",
+               "state whether a request may be run more than once");
+    }
+    return *node->value<bool>();
+}
+
+ClassTarget parseClass(const std::string &name, const toml::table &table,
+                       const std::set<ServiceName> &services)
+{
+    const std::string where = "class." + name;
+    rejectUnknownKeys(table, where,
+                      {"service", "answer_within_ms", "share", "repeatable", "deadline_ms"});
+    ClassTarget target;
+    target.name = ClassName(name);
+
+    const toml::node *service = table.get("service");
+    if (service == nullptr || !service->is_string()) {
+        reject(service == nullptr ? table : *service, where + ".service is not a text",
+               "name a declared service");
+    }
+    target.service = ServiceName(*service->value<std::string>());
+    if (!services.contains(target.service)) {
+        reject(*service, where + ".service '" + target.service.value() + "' is not declared",
+               "add [service." + target.service.value() + "] or name a declared service");
+    }
+
+    const auto within = readInteger(table, where, "answer_within_ms", 1, MaxMilliseconds);
+    if (!within) {
+        reject(table, where + ".answer_within_ms is missing", "state how late an answer may be");
+    }
+    target.answerWithin = std::chrono::milliseconds(*within);
+    target.share = readShare(table, where, "share", 1.0).value_or(target.share);
+    target.repeatable = readRepeatable(table, where);
+    const auto deadline = readInteger(table, where, "deadline_ms", *within, MaxMilliseconds);
+    const std::int64_t fallback = std::min(*within * DefaultDeadlineFactor, MaxMilliseconds);
+    target.deadline = std::chrono::milliseconds(deadline.value_or(fallback));
+    return target;
+}
+
+} // namespace
+
+Declaration parseDeclaration(std::string_view text)
+{
+    toml::table root;
+    try {
+        root = toml::parse(text);
+    } catch (const toml::parse_error &error) {
+        throw DeclarationError("line " + std::to_string(error.source().begin.line) + ": "
+                                   + std::string(error.description()),
+                               "fix the TOML syntax");
+    }
+    rejectUnknownKeys(root, "the declaration", {"measuring", "service", "class"});
+    Declaration declaration;
+    declaration.measuring = parseMeasuring(root);
+    declaration.services = parseServices(root);
+    const toml::node *classes = root.get("class");
+    if (classes == nullptr) {
+        throw DeclarationError("there is no class", "add a table such as [class.schedule-reads]");
+    }
+    for (const auto &[key, entry] : requireTable(*classes, "class")) {
+        checkName(entry, "class", key.str());
+        const std::string name(key.str());
+        const toml::table &table = requireTable(entry, "class." + name);
+        declaration.classes.emplace(ClassName(name), parseClass(name, table, declaration.services));
+    }
+    return declaration;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/entry/callparser.h
@@ -0,0 +1,38 @@
+#ifndef BRONZESHED_ENTRY_CALLPARSER_H
+#define BRONZESHED_ENTRY_CALLPARSER_H
+
+#include "base/clock.h"
+#include "base/strongid.h"
+#include "http/httpmessage.h"
+#include "requests/outcome.h"
+
+#include <optional>
+#include <string>
+
+namespace bronzeshed {
+
+/** The Bronzeshed-* headers of a call. */
+struct CallHeaders
+{
+    ClassName className;
+    CallerName caller;
+    RequestId requestId; ///< empty if not given
+    std::optional<std::chrono::milliseconds> timeLeft;
+    unsigned depth = 0;
+    unsigned attempt = 0;
+};
+
+/** Result of reading the headers: either the call, or why it is invalid. */
+struct ParsedCall
+{
+    CallHeaders headers;
+    Reason reason = Reason::None; ///< None if valid
+    std::string detail; ///< what is wrong, for the response body
+};
+
+/** Reads and checks the Bronzeshed-* headers of a request. */
+ParsedCall parseCallHeaders(const HttpRequest &request);
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/entry/controlinbox.cpp
@@ -0,0 +1,59 @@
+#include "entry/controlinbox.h"
+
+#include <algorithm>
+
+namespace bronzeshed {
+
+ControlInbox::ControlInbox(EntryStatus initialStatus, Wakeup &wakeup)
+    : wakeup(wakeup)
+    , reported(std::move(initialStatus))
+{
+}
+
+void ControlInbox::stateChanged(ControlState state, TimePoint confirmedAt)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->newest = std::move(state);
+        this->lastConfirmed = std::max(this->lastConfirmed, confirmedAt);
+    }
+    this->wakeup.notify();
+}
+
+void ControlInbox::stateConfirmed(TimePoint confirmedAt)
+{
+    const std::lock_guard lock(this->mutex);
+    this->lastConfirmed = std::max(this->lastConfirmed, confirmedAt);
+}
+
+EntryStatus ControlInbox::status()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->reported;
+}
+
+std::optional<ControlState> ControlInbox::takeState()
+{
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->newest, std::nullopt);
+}
+
+TimePoint ControlInbox::confirmedAt()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->lastConfirmed;
+}
+
+void ControlInbox::setLeaving()
+{
+    const std::lock_guard lock(this->mutex);
+    this->reported.leaving = true;
+}
+
+void ControlInbox::setConfigVersionInForce(ConfigVersion version)
+{
+    const std::lock_guard lock(this->mutex);
+    this->reported.configVersionInForce = version;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/entry/controlinbox.h
@@ -0,0 +1,42 @@
+#ifndef BRONZESHED_ENTRY_CONTROLINBOX_H
+#define BRONZESHED_ENTRY_CONTROLINBOX_H
+
+#include "base/wakeup.h"
+#include "membership/controlports.h"
+
+#include <mutex>
+#include <optional>
+
+namespace bronzeshed {
+
+/**
+ * Passes the control state from the control thread to the decision thread. Holds the newest state
+ * only, so it cannot fill.
+ */
+class ControlInbox : public ControlStateSink
+{
+public:
+    ControlInbox(EntryStatus initialStatus, Wakeup &wakeup);
+
+    void stateChanged(ControlState state, TimePoint confirmedAt) override;
+    void stateConfirmed(TimePoint confirmedAt) override;
+    EntryStatus status() override;
+
+    /** Takes the newest state if it was not taken before. */
+    std::optional<ControlState> takeState();
+    /** When the state was last confirmed. */
+    TimePoint confirmedAt();
+    void setLeaving();
+    void setConfigVersionInForce(ConfigVersion version);
+
+private:
+    std::mutex mutex;
+    Wakeup &wakeup;
+    EntryStatus reported;
+    std::optional<ControlState> newest;
+    TimePoint lastConfirmed;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/entry/decisionloop.h
@@ -0,0 +1,84 @@
+#ifndef BRONZESHED_ENTRY_DECISIONLOOP_H
+#define BRONZESHED_ENTRY_DECISIONLOOP_H
+
+#include "base/random.h"
+#include "entry/callerport.h"
+#include "entry/callparser.h"
+#include "entry/controlinbox.h"
+#include "entry/upstreamport.h"
+#include "routing/dispatcher.h"
+
+#include <atomic>
+#include <unordered_map>
+
+namespace bronzeshed {
+
+/** Settings of the decision loop. */
+struct DecisionOptions
+{
+    DispatcherOptions dispatcher;
+    Duration freshness = std::chrono::seconds(6); ///< age of control state that stops new work
+};
+
+/**
+ * Body of the decision thread: feeds the dispatcher with events of the other threads and carries
+ * out what it decides. All state is used by this thread only.
+ */
+class DecisionLoop : private DispatcherOutput
+{
+public:
+    DecisionLoop(const DecisionOptions &options, Wakeup &wakeup, EventRing<CallerEvent> &callers,
+                 EventRing<AttemptEvent> &attempts, ControlInbox &control, UpstreamPort &upstreams);
+
+    /** Runs until stop(). */
+    void run();
+    /** Thread-safe. */
+    void stop();
+    /** Refuses new work from now on. Thread-safe. */
+    void refuseNewWork() { this->refusing.store(true); }
+    /** Calls that have no outcome yet. Thread-safe. */
+    std::size_t openCalls() const { return this->open.load(); }
+
+private:
+    struct OpenCall
+    {
+        HttpRequest request;
+        std::shared_ptr<HttpExchange> exchange;
+        CallHeaders headers;
+        TimePoint deadline;
+    };
+
+    void startAttempt(const AttemptOrder &order) override;
+    void cancelAttempt(AttemptId id) override;
+    void finishCall(CallId id, Outcome outcome, Reason reason, AttemptId winner) override;
+
+    void takeControlState();
+    void handleCaller(CallerEvent event);
+    void handleLookup(const CallerEvent &event);
+    void handleCall(CallerEvent event);
+    void handleAttempt(AttemptEvent event);
+    bool isFresh() const;
+
+    DecisionOptions options;
+    Wakeup &wakeup;
+    EventRing<CallerEvent> &callers;
+    EventRing<AttemptEvent> &attempts;
+    ControlInbox &control;
+    UpstreamPort &upstreams;
+    SystemClock clock;
+    SeededRandom random;
+    TimerService timers;
+    Dispatcher dispatcher;
+    Declaration declaration;
+    ControlState state;
+    std::unordered_map<CallId, OpenCall> calls;
+    HttpResponse winningResponse; ///< of the attempt being reported
+    CallId lastCall;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> refusing{false};
+    std::atomic<std::size_t> open{0};
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/entry/upstreamport.cpp
@@ -0,0 +1,87 @@
+#include "entry/upstreamport.h"
+
+#include "base/logline.h"
+
+#include <charconv>
+
+namespace bronzeshed {
+
+namespace {
+
+std::optional<std::uint64_t> readNumber(const HttpResponse &response, const char *name)
+{
+    const auto text = response.headers.find(name);
+    std::uint64_t number = 0;
+    if (!text
+        || std::from_chars(text->data(), text->data() + text->size(), number).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+AttemptStatus toStatus(const ExchangeResult &result)
+{
+    switch (result.status) {
+    case ExchangeStatus::Answered: {
+        const bool notStarted = result.response.status == 503
+            && result.response.headers.find("Bronzeshed-Not-Started") == "1";
+        return notStarted ? AttemptStatus::NotStarted : AttemptStatus::Answered;
+    }
+    case ExchangeStatus::NotSent:
+        return AttemptStatus::NotSent;
+    case ExchangeStatus::Failed:
+        return AttemptStatus::Failed;
+    case ExchangeStatus::TimedOut:
+        return AttemptStatus::TimedOut;
+    case ExchangeStatus::Cancelled:
+        return AttemptStatus::Cancelled;
+    }
+    return AttemptStatus::Failed;
+}
+
+} // namespace
+
+AttemptReport makeAttemptReport(const ExchangeResult &result)
+{
+    AttemptReport report;
+    report.status = toStatus(result);
+    if (result.status != ExchangeStatus::Answered) {
+        return report;
+    }
+    report.httpStatus = result.response.status;
+    report.draining = result.response.headers.find("Bronzeshed-State") == "draining";
+    if (const auto load = readNumber(result.response, "Bronzeshed-Load")) {
+        report.load = static_cast<unsigned>(*load);
+    }
+    if (const auto micros = readNumber(result.response, "Bronzeshed-Service-Us")) {
+        report.serviceTime = std::chrono::microseconds(*micros);
+    }
+    return report;
+}
+
+UpstreamPort::UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring)
+    : ring(ring)
+    , pool(limits)
+{
+}
+
+void UpstreamPort::send(const AttemptOrder &order, HttpRequest request)
+{
+    const auto use = order.idempotent ? ConnectionUse::AnyIdle : ConnectionUse::RecentlyUsed;
+    this->pool.send(
+        order.attempt, order.upstream.endpoint, std::move(request), use, order.timeout,
+        [this, attempt = order.attempt](ExchangeResult result) {
+            AttemptEvent event{attempt, makeAttemptReport(result), std::move(result.response)};
+            // The ring holds every attempt that may be in progress.
+            if (!this->ring.tryPush(std::move(event))) {
+                LogLine("attempt_event_lost", LogLevel::Error).add("attempt", attempt.value());
+            }
+        });
+}
+
+void UpstreamPort::cancel(AttemptId id)
+{
+    this->pool.cancel(id);
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/http/connectionpool.cpp
@@ -0,0 +1,328 @@
+#include "http/connectionpool.h"
+
+#include "http/beastmessage.h"
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <sys/socket.h>
+#include <thread>
+#include <unordered_map>
+
+namespace bronzeshed {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+/** One TCP connection with its read buffer. */
+class Connection
+{
+public:
+    Connection(asio::io_context &context, std::atomic<std::size_t> &count)
+        : stream(context)
+        , count(count)
+    {
+        ++this->count;
+    }
+    ~Connection() { --this->count; }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    /** Whether the server has neither closed nor sent anything since the last response. */
+    bool isQuiet()
+    {
+        char byte = 0;
+        const auto size
+            = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    TimePoint lastUse;
+
+private:
+    std::atomic<std::size_t> &count;
+};
+
+} // namespace
+
+class ConnectionPool::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    explicit Implementation(const ConnectionPoolLimits &limits)
+        : limits(limits)
+        , work(asio::make_work_guard(context))
+    {
+    }
+
+    class Exchange;
+
+    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint, ConnectionUse use);
+    void putIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection);
+
+    ConnectionPoolLimits limits;
+    std::atomic<std::size_t> connections{0};
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::thread thread;
+    std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle;
+    std::unordered_map<AttemptId, std::shared_ptr<Exchange>> exchanges;
+};
+
+/** One request and its response on one connection. */
+class ConnectionPool::Implementation::Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(std::shared_ptr<Implementation> pool, AttemptId id, Endpoint endpoint,
+             HttpRequest request, ConnectionUse use, TimePoint deadline, Callback callback)
+        : pool(std::move(pool))
+        , id(id)
+        , endpoint(std::move(endpoint))
+        , use(use)
+        , deadline(deadline)
+        , callback(std::move(callback))
+        , headOnly(request.method == "HEAD")
+        , message(toBeastRequest(request, this->endpoint.toString(), true))
+    {
+    }
+
+    void start();
+    void cancel();
+
+private:
+    void connect();
+    void write();
+    void read();
+    void succeed();
+    void fail(beast::error_code error);
+    void finish(ExchangeResult result);
+
+    std::shared_ptr<Implementation> pool;
+    AttemptId id;
+    Endpoint endpoint;
+    ConnectionUse use;
+    TimePoint deadline;
+    Callback callback;
+    bool headOnly;
+    BeastRequest message;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::unique_ptr<Connection> connection;
+    bool writing = false;
+    bool cancelled = false;
+};
+
+std::unique_ptr<Connection> ConnectionPool::Implementation::takeIdle(const Endpoint &endpoint,
+                                                                     ConnectionUse use)
+{
+    auto &queue = this->idle[endpoint];
+    const TimePoint now = std::chrono::steady_clock::now();
+    while (!queue.empty()) {
+        // The most recently used connection is the least likely to be dead.
+        std::unique_ptr<Connection> connection = std::move(queue.back());
+        queue.pop_back();
+        const Duration age = now - connection->lastUse;
+        if (age > this->limits.idleTimeout || !connection->isQuiet()) {
+            continue;
+        }
+        if (use == ConnectionUse::RecentlyUsed && age > this->limits.recentUse) {
+            queue.push_back(std::move(connection));
+            return nullptr;
+        }
+        return connection;
+    }
+    return nullptr;
+}
+
+void ConnectionPool::Implementation::putIdle(const Endpoint &endpoint,
+                                             std::unique_ptr<Connection> connection)
+{
+    auto &queue = this->idle[endpoint];
+    connection->lastUse = std::chrono::steady_clock::now();
+    connection->stream.expires_never();
+    queue.push_back(std::move(connection));
+    if (queue.size() > this->limits.idlePerEndpoint) {
+        queue.pop_front();
+    }
+}
+
+void ConnectionPool::Implementation::Exchange::start()
+{
+    this->pool->exchanges.emplace(this->id, this->shared_from_this());
+    if (std::chrono::steady_clock::now() >= this->deadline) {
+        // The process was paused between the decision and now; the decision may be out of date.
+        this->finish({});
+        return;
+    }
+    this->connection = this->pool->takeIdle(this->endpoint, this->use);
+    if (this->connection) {
+        this->write();
+    } else {
+        this->connect();
+    }
+}
+
+void ConnectionPool::Implementation::Exchange::connect()
+{
+    this->connection = std::make_unique<Connection>(this->pool->context, this->pool->connections);
+    const TimePoint limit = std::chrono::steady_clock::now() + this->pool->limits.connectTimeout;
+    this->connection->stream.expires_at(std::min(limit, this->deadline));
+    const tcp::endpoint address(asio::ip::make_address(this->endpoint.host), this->endpoint.port);
+    this->connection->stream.async_connect(
+        address, [self = this->shared_from_this()](beast::error_code error) {
+            if (error || self->cancelled) {
+                self->fail(error);
+                return;
+            }
+            beast::error_code ignored;
+            self->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+}
+
+void ConnectionPool::Implementation::Exchange::write()
+{
+    this->writing = true;
+    this->connection->stream.expires_at(this->deadline);
+    http::async_write(this->connection->stream, this->message,
+                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                          if (error) {
+                              self->fail(error);
+                              return;
+                          }
+                          self->read();
+                      });
+}
+
+void ConnectionPool::Implementation::Exchange::read()
+{
+    this->parser.emplace();
+    this->parser->body_limit(this->pool->limits.bodyBytes);
+    this->parser->skip(this->headOnly);
+    http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
+                     [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                         if (error) {
+                             self->fail(error);
+                             return;
+                         }
+                         self->succeed();
+                     });
+}
+
+void ConnectionPool::Implementation::Exchange::succeed()
+{
+    if (this->parser->need_eof()) {
+        // Without a length or chunks, a truncated response looks whole.
+        this->fail(http::error::partial_message);
+        return;
+    }
+    BeastResponse response = this->parser->release();
+    // Bytes after the response would be taken for the answer of the next exchange.
+    const bool reusable = response.keep_alive() && this->connection->buffer.size() == 0;
+    if (reusable && !this->cancelled) {
+        this->pool->putIdle(this->endpoint, std::move(this->connection));
+    }
+    this->finish({ExchangeStatus::Answered, fromBeastResponse(std::move(response))});
+}
+
+void ConnectionPool::Implementation::Exchange::fail(beast::error_code error)
+{
+    ExchangeResult result;
+    if (!this->writing) {
+        result.status = ExchangeStatus::NotSent;
+    } else if (this->cancelled) {
+        result.status = ExchangeStatus::Cancelled;
+    } else if (error == beast::error::timeout) {
+        result.status = ExchangeStatus::TimedOut;
+    } else {
+        result.status = ExchangeStatus::Failed;
+    }
+    this->finish(std::move(result));
+}
+
+void ConnectionPool::Implementation::Exchange::finish(ExchangeResult result)
+{
+    this->connection.reset();
+    this->pool->exchanges.erase(this->id);
+    if (const Callback done = std::exchange(this->callback, nullptr)) {
+        done(std::move(result));
+    }
+}
+
+void ConnectionPool::Implementation::Exchange::cancel()
+{
+    this->cancelled = true;
+    if (this->connection) {
+        this->connection->stream.close();
+    }
+}
+
+ConnectionPool::ConnectionPool(const ConnectionPoolLimits &limits)
+    : implementation(std::make_shared<Implementation>(limits))
+{
+    this->implementation->thread
+        = std::thread([raw = this->implementation.get()] { raw->context.run(); });
+}
+
+ConnectionPool::~ConnectionPool()
+{
+    this->stop();
+}
+
+void ConnectionPool::send(AttemptId id, const Endpoint &endpoint, HttpRequest request,
+                          ConnectionUse use, Duration timeout, Callback callback)
+{
+    const TimePoint deadline = std::chrono::steady_clock::now() + timeout;
+    auto exchange = std::make_shared<Implementation::Exchange>(
+        this->implementation, id, endpoint, std::move(request), use, deadline, std::move(callback));
+    asio::post(this->implementation->context, [exchange] { exchange->start(); });
+}
+
+void ConnectionPool::cancel(AttemptId id)
+{
+    asio::post(this->implementation->context, [raw = this->implementation.get(), id] {
+        const auto found = raw->exchanges.find(id);
+        if (found != raw->exchanges.end()) {
+            found->second->cancel();
+        }
+    });
+}
+
+void ConnectionPool::dropIdle(const Endpoint &endpoint)
+{
+    asio::post(this->implementation->context,
+               [raw = this->implementation.get(), endpoint] { raw->idle.erase(endpoint); });
+}
+
+std::size_t ConnectionPool::openConnections() const
+{
+    return this->implementation->connections.load();
+}
+
+void ConnectionPool::stop()
+{
+    if (!this->implementation->thread.joinable()) {
+        return;
+    }
+    asio::post(this->implementation->context, [raw = this->implementation.get()] {
+        raw->idle.clear();
+        const auto running = raw->exchanges;
+        for (const auto &[id, exchange] : running) {
+            exchange->cancel();
+        }
+        raw->work.reset();
+    });
+    this->implementation->thread.join();
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,60 @@
+#include "http/httpclient.h"
+
+#include "http/beastmessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bronzeshed {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t ResponseBodyLimit = 4 * 1024 * 1024;
+
+/** Runs the context until the operation that sets @p error has completed. */
+void await(asio::io_context &context, const beast::error_code &error, const std::string &what,
+           bool maybeSent)
+{
+    context.restart();
+    context.run();
+    if (error) {
+        throw HttpClientError(what + ": " + error.message(), maybeSent);
+    }
+}
+
+} // namespace
+
+HttpResponse sendHttpRequest(const Endpoint &endpoint, const HttpRequest &request,
+                             std::chrono::milliseconds timeout)
+{
+    asio::io_context context;
+    beast::tcp_stream stream(context);
+    beast::error_code error;
+    const auto store = [&error](beast::error_code result, auto...) { error = result; };
+    stream.expires_after(timeout);
+
+    const tcp::endpoint address(asio::ip::make_address(endpoint.host), endpoint.port);
+    stream.async_connect(address, store);
+    await(context, error, "cannot connect to " + endpoint.toString(), false);
+
+    BeastRequest message = toBeastRequest(request, endpoint.toString(), false);
+    http::async_write(stream, message, store);
+    await(context, error, "cannot send to " + endpoint.toString(), true);
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(ResponseBodyLimit);
+    parser.skip(request.method == "HEAD");
+    http::async_read(stream, buffer, parser, store);
+    await(context, error, "no whole response from " + endpoint.toString(), true);
+    return fromBeastResponse(parser.release());
+}
+
+} // namespace bronzeshed
--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -31,7 +31,7 @@
 {
     const auto same = [](char a, char b) {
         return std::tolower(static_cast<unsigned char>(a))
-                == std::tolower(static_cast<unsigned char>(b));
+            == std::tolower(static_cast<unsigned char>(b));
     };
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
 }
@@ -66,9 +66,8 @@
 std::size_t HttpHeaders::count(std::string_view name) const
 {
     return static_cast<std::size_t>(
-            std::count_if(this->entries.begin(), this->entries.end(), [&](const Field &field) {
-                return equalsIgnoringCase(field.first, name);
-            }));
+        std::count_if(this->entries.begin(), this->entries.end(),
+                      [&](const Field &field) { return equalsIgnoringCase(field.first, name); }));
 }
 
 std::string HttpRequest::path() const
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -24,7 +24,8 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 4096;
-constexpr std::chrono::milliseconds AcceptRetryDelay { 50 };
+constexpr std::chrono::milliseconds LingerTimeout{2000};
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
 unsigned statusForParseError(beast::error_code error)
 {
@@ -45,8 +46,8 @@
 {
     for (const auto &[name, value] : headers.fields()) {
         const bool unique = equalsIgnoringCase(name, "Host")
-                || equalsIgnoringCase(name, "Content-Length")
-                || equalsIgnoringCase(std::string_view(name).substr(0, 11), "Bronzeshed-");
+            || equalsIgnoringCase(name, "Content-Length")
+            || equalsIgnoringCase(std::string_view(name).substr(0, 11), "Bronzeshed-");
         if (unique && headers.count(name) > 1) {
             return name;
         }
@@ -83,9 +84,9 @@
     Endpoint bound;
     std::thread thread;
     std::set<Session *> sessions;
-    std::atomic<std::size_t> connections { 0 };
-    std::atomic<std::size_t> pending { 0 };
-    std::atomic<bool> draining { false };
+    std::atomic<std::size_t> connections{0};
+    std::atomic<std::size_t> pending{0};
+    std::atomic<bool> draining{false};
 };
 
 /** One client connection; handles one request at a time. */
@@ -102,6 +103,7 @@
 
     ~Session()
     {
+        this->setInFlight(false);
         this->server->sessions.erase(this);
         this->server->connections.store(this->server->sessions.size());
     }
@@ -111,7 +113,6 @@
 
     void readNext();
     void close();
-    bool isIdle() const { return !this->inFlight && !this->reading && this->buffer.size() == 0; }
     void respond(std::uint64_t serial, HttpResponse response);
     void setGoneCallback(std::uint64_t serial, std::function<void()> callback);
 
@@ -124,6 +125,7 @@
     void rejectRequest(unsigned status, const std::string &problem, const std::string &remedy);
     void write(const HttpResponse &response);
     void finishWrite(beast::error_code error, bool keepAlive);
+    void discardUntilClosed();
     void watchClient();
     void clientGone();
     void setInFlight(bool value);
@@ -196,33 +198,33 @@
         throw Error("cannot listen on " + endpoint.toString() + ": " + error.code().message(),
                     "choose a free address and port of this instance");
     }
-    this->bound = { this->acceptor.local_endpoint().address().to_string(),
-                    this->acceptor.local_endpoint().port() };
+    this->bound = {this->acceptor.local_endpoint().address().to_string(),
+                   this->acceptor.local_endpoint().port()};
 }
 
 void HttpServer::Implementation::accept()
 {
-    this->acceptor.async_accept([self = this->shared_from_this()](beast::error_code error,
-                                                                  tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            // Out of descriptors: retrying at once would spin.
-            LogLine("accept_failed", LogLevel::Warning).add("error", error.message());
-            self->acceptTimer.expires_after(AcceptRetryDelay);
-            self->acceptTimer.async_wait([self](beast::error_code) { self->accept(); });
-            return;
-        }
-        if (self->sessions.size() < self->limits.connections) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), self)->readNext();
-        } else {
-            LogLine("connection_refused", LogLevel::Warning).add("reason", "connection_limit");
-        }
-        self->accept();
-    });
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](beast::error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                // Out of descriptors: retrying at once would spin.
+                LogLine("accept_failed", LogLevel::Warning).add("error", error.message());
+                self->acceptTimer.expires_after(AcceptRetryDelay);
+                self->acceptTimer.async_wait([self](beast::error_code) { self->accept(); });
+                return;
+            }
+            if (self->sessions.size() < self->limits.connections) {
+                beast::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                std::make_shared<Session>(std::move(socket), self)->readNext();
+            } else {
+                LogLine("connection_refused", LogLevel::Warning).add("reason", "connection_limit");
+            }
+            self->accept();
+        });
 }
 
 void HttpServer::Implementation::Session::readNext()
@@ -233,14 +235,14 @@
     }
     this->stream.expires_after(this->server->limits.idleTimeout);
     this->stream.async_read_some(
-            this->buffer.prepare(ReadChunkBytes),
-            [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
-                if (error) {
-                    return;
-                }
-                self->buffer.commit(size);
-                self->readHeader();
-            });
+        this->buffer.prepare(ReadChunkBytes),
+        [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+            if (error) {
+                return;
+            }
+            self->buffer.commit(size);
+            self->readHeader();
+        });
 }
 
 void HttpServer::Implementation::Session::readHeader()
@@ -250,16 +252,16 @@
     this->parser->header_limit(static_cast<std::uint32_t>(this->server->limits.headerBytes));
     this->parser->body_limit(this->server->limits.bodyBytes);
     this->stream.expires_after(this->server->limits.headerTimeout);
-    http::async_read_header(this->stream, this->buffer, *this->parser,
-                            [self = this->shared_from_this()](beast::error_code error,
-                                                              std::size_t) {
-                                if (error) {
-                                    self->rejectRequest(statusForParseError(error),
-                                                        error.message(), "fix the request header");
-                                    return;
-                                }
-                                self->readBody();
-                            });
+    http::async_read_header(
+        this->stream, this->buffer, *this->parser,
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+            if (error) {
+                self->rejectRequest(statusForParseError(error), error.message(),
+                                    "fix the request header");
+                return;
+            }
+            self->readBody();
+        });
 }
 
 void HttpServer::Implementation::Session::readBody()
@@ -303,8 +305,7 @@
     this->server->handler.handleRequest(std::move(request), std::move(exchange));
 }
 
-void HttpServer::Implementation::Session::rejectRequest(unsigned status,
-                                                        const std::string &problem,
+void HttpServer::Implementation::Session::rejectRequest(unsigned status, const std::string &problem,
                                                         const std::string &remedy)
 {
     this->reading = false;
@@ -328,8 +329,8 @@
 void HttpServer::Implementation::Session::write(const HttpResponse &answer)
 {
     this->goneCallback = nullptr;
-    const bool keepAlive = this->clientKeepsAlive && !answer.closeConnection
-            && !this->server->draining.load();
+    const bool keepAlive
+        = this->clientKeepsAlive && !answer.closeConnection && !this->server->draining.load();
     this->response = {};
     this->response.version(11);
     this->response.result(answer.status);
@@ -343,11 +344,11 @@
         this->response.body().clear();
     }
     this->stream.expires_after(this->server->limits.requestTimeout);
-    http::async_write(this->stream, this->response,
-                      [self = this->shared_from_this(), keepAlive](beast::error_code error,
-                                                                   std::size_t) {
-                          self->finishWrite(error, keepAlive);
-                      });
+    http::async_write(
+        this->stream, this->response,
+        [self = this->shared_from_this(), keepAlive](beast::error_code error, std::size_t) {
+            self->finishWrite(error, keepAlive);
+        });
 }
 
 void HttpServer::Implementation::Session::finishWrite(beast::error_code error, bool keepAlive)
@@ -356,11 +357,28 @@
     if (error || !keepAlive) {
         beast::error_code ignored;
         this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        this->stream.expires_after(LingerTimeout);
+        this->discardUntilClosed();
         return;
     }
     this->readNext();
 }
 
+void HttpServer::Implementation::Session::discardUntilClosed()
+{
+    // Closing with unread data resets the connection, which can destroy the response on its way.
+    this->buffer.clear();
+    this->stream.async_read_some(
+        this->buffer.prepare(ReadChunkBytes),
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+            if (error) {
+                self->stream.close();
+                return;
+            }
+            self->discardUntilClosed();
+        });
+}
+
 void HttpServer::Implementation::Session::watchClient()
 {
     if (this->watching) {
@@ -368,24 +386,20 @@
     }
     this->watching = true;
     this->stream.socket().async_wait(
-            tcp::socket::wait_read,
-            [weak = this->weak_from_this(), watched = this->serial](beast::error_code error) {
-                const auto self = weak.lock();
-                if (!self) {
-                    return;
-                }
-                self->watching = false;
-                if (error || !self->inFlight || watched != self->serial) {
-                    return;
-                }
-                char byte = 0;
-                const auto size = ::recv(self->stream.socket().native_handle(), &byte, 1,
-                                         MSG_PEEK | MSG_DONTWAIT);
-                // A positive size is a pipelined request; it stays in the socket for later.
-                if (size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
-                    self->clientGone();
-                }
-            });
+        tcp::socket::wait_read,
+        [self = this->shared_from_this(), watched = this->serial](beast::error_code error) {
+            self->watching = false;
+            if (error || !self->inFlight || watched != self->serial) {
+                return;
+            }
+            char byte = 0;
+            const auto size
+                = ::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            // A positive size is a pipelined request; it stays in the socket for later.
+            if (size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                self->clientGone();
+            }
+        });
 }
 
 void HttpServer::Implementation::Session::clientGone()
@@ -426,9 +440,8 @@
 {
     this->implementation->open(endpoint);
     this->implementation->accept();
-    this->implementation->thread = std::thread([raw = this->implementation.get()] {
-        raw->context.run();
-    });
+    this->implementation->thread
+        = std::thread([raw = this->implementation.get()] { raw->context.run(); });
 }
 
 HttpServer::~HttpServer()
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -18,9 +18,9 @@
     std::size_t headerBytes = 16 * 1024;
     std::size_t bodyBytes = 1024 * 1024;
     std::size_t connections = 4096;
-    std::chrono::milliseconds headerTimeout { 5000 };
-    std::chrono::milliseconds requestTimeout { 15000 };
-    std::chrono::milliseconds idleTimeout { 60000 };
+    std::chrono::milliseconds headerTimeout{5000};
+    std::chrono::milliseconds requestTimeout{15000};
+    std::chrono::milliseconds idleTimeout{60000};
 };
 
 /** One request that waits for its response. Thread-safe. */
--- /dev/null
+++ b/src/platform/httpkeyvaluestore.cpp
@@ -0,0 +1,77 @@
+#include "platform/httpkeyvaluestore.h"
+
+#include "base/error.h"
+#include "http/httpclient.h"
+
+#include <charconv>
+
+namespace bronzeshed {
+
+namespace {
+
+/** The store answers a watch after at most 10 s; a longer silence is a dead connection. */
+constexpr std::chrono::seconds WatchTimeout{12};
+
+StoredValue readValue(HttpResponse response)
+{
+    if (response.status != 200 && response.status != 404) {
+        throw UnavailableError("the store answered with status " + std::to_string(response.status),
+                               "check the platform's key-value service");
+    }
+    StoredValue stored;
+    const std::string revision = response.headers.find("Revision").value_or("");
+    const auto *end = revision.data() + revision.size();
+    if (std::from_chars(revision.data(), end, stored.revision).ptr != end || revision.empty()) {
+        throw ProtocolError("the store's answer has no valid Revision header",
+                            "check the platform's key-value service");
+    }
+    stored.value = response.status == 200 ? std::move(response.body) : std::string();
+    return stored;
+}
+
+} // namespace
+
+HttpKeyValueStore::HttpKeyValueStore(Endpoint endpoint, std::chrono::milliseconds timeout)
+    : endpoint(std::move(endpoint))
+    , timeout(timeout)
+{
+}
+
+StoredValue HttpKeyValueStore::get(const std::string &key)
+{
+    HttpRequest request;
+    request.target = "/kv/" + key;
+    return readValue(sendHttpRequest(this->endpoint, request, this->timeout));
+}
+
+std::optional<StoredValue> HttpKeyValueStore::watch(const std::string &key, std::uint64_t revision)
+{
+    HttpRequest request;
+    request.target = "/kv/" + key + "?watch=" + std::to_string(revision);
+    HttpResponse response = sendHttpRequest(this->endpoint, request, WatchTimeout);
+    if (response.status == 304) {
+        return std::nullopt;
+    }
+    return readValue(std::move(response));
+}
+
+SwapResult HttpKeyValueStore::compareAndSwap(const std::string &key, std::uint64_t revision,
+                                             const std::string &value)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = "/kv/" + key;
+    request.headers.add("If-Revision", std::to_string(revision));
+    request.body = value;
+    try {
+        const HttpResponse response = sendHttpRequest(this->endpoint, request, this->timeout);
+        if (response.status == 200) {
+            return SwapResult::Swapped;
+        }
+        return response.status == 409 ? SwapResult::Conflict : SwapResult::Unknown;
+    } catch (const HttpClientError &) {
+        return SwapResult::Unknown;
+    }
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/requests/outcome.cpp
@@ -0,0 +1,88 @@
+#include "requests/outcome.h"
+
+#include <array>
+#include <cstddef>
+
+namespace bronzeshed {
+
+namespace {
+
+struct ReasonText
+{
+    Reason reason;
+    std::string_view name;
+    std::string_view remedy;
+};
+
+constexpr std::string_view TryNextEntry = "send it to the next address of the lookup answer";
+constexpr std::string_view RepeatSameId = "repeat it with the same id to learn the outcome";
+
+constexpr std::array ReasonTexts{
+    ReasonText{Reason::None, "none", "nothing to do"},
+    ReasonText{Reason::QueueFull, "queue-full", "wait and send it again"},
+    ReasonText{Reason::DeadlineTooShort, "deadline-too-short", "allow more time"},
+    ReasonText{Reason::DeadlinePassed, "deadline-passed", "allow more time or send it again"},
+    ReasonText{Reason::NoConfiguration, "no-configuration", TryNextEntry},
+    ReasonText{Reason::NoUpstream, "no-upstream", "wait until a server of the service is live"},
+    ReasonText{Reason::StaleControlState, "stale-control-state", TryNextEntry},
+    ReasonText{Reason::Draining, "draining", TryNextEntry},
+    ReasonText{Reason::Overloaded, "overloaded", TryNextEntry},
+    ReasonText{Reason::LedgerFull, "ledger-full", TryNextEntry},
+    ReasonText{Reason::UpstreamRefused, "upstream-refused", "wait and send it again"},
+    ReasonText{Reason::UpstreamUnreachable, "upstream-unreachable", "wait and send it again"},
+    ReasonText{Reason::UpstreamFailed, "upstream-failed", RepeatSameId},
+    ReasonText{Reason::UpstreamTimedOut, "upstream-timed-out", RepeatSameId},
+    ReasonText{Reason::CallerLeft, "caller-left", RepeatSameId},
+    ReasonText{Reason::Fenced, "fenced", "send it again under a new id"},
+    ReasonText{Reason::AnswerExpired, "answer-expired", "ask the service for its state"},
+    ReasonText{Reason::OwnerUnreachable, "owner-unreachable", "ask the service for its state"},
+    ReasonText{Reason::PeriodExpired, "period-expired", "ask the service for its state"},
+    ReasonText{Reason::UnknownClass, "unknown-class", "use a declared class"},
+    ReasonText{Reason::MissingIdentity, "missing-identity",
+               "send Bronzeshed-Request-Id made from the ticket of the lookup answer"},
+    ReasonText{Reason::MalformedIdentity, "malformed-identity",
+               "make the id from the ticket of the lookup answer and 16 to 64 hex digits"},
+    ReasonText{Reason::WrongIdentity, "wrong-identity",
+               "use a new id for each request and the same request for each repeat"},
+    ReasonText{Reason::DepthExceeded, "depth-exceeded", "break the chain of calls"},
+    ReasonText{Reason::MalformedHeader, "malformed-header", "correct the header named"},
+};
+
+const ReasonText &textOf(Reason reason)
+{
+    for (const ReasonText &text : ReasonTexts) {
+        if (text.reason == reason) {
+            return text;
+        }
+    }
+    return ReasonTexts[0];
+}
+
+} // namespace
+
+std::string_view outcomeName(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Answered:
+        return "answered";
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Unknown:
+        return "unknown";
+    case Outcome::Invalid:
+        return "invalid";
+    }
+    return "unknown";
+}
+
+std::string_view reasonName(Reason reason)
+{
+    return textOf(reason).name;
+}
+
+std::string_view reasonRemedy(Reason reason)
+{
+    return textOf(reason).remedy;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/routing/dispatcheroutput.h
@@ -0,0 +1,58 @@
+#ifndef BRONZESHED_ROUTING_DISPATCHEROUTPUT_H
+#define BRONZESHED_ROUTING_DISPATCHEROUTPUT_H
+
+#include "base/clock.h"
+#include "base/strongnumber.h"
+#include "membership/controlstate.h"
+#include "requests/outcome.h"
+
+#include <optional>
+
+namespace bronzeshed {
+
+/** How an attempt at an upstream ended. */
+enum class AttemptStatus {
+    Answered, ///< a whole response arrived
+    NotStarted, ///< the upstream stated that it did not start the request
+    NotSent, ///< no byte was written
+    Failed, ///< failed after a byte may have been written
+    TimedOut, ///< no whole response in time after a byte may have been written
+    Cancelled, ///< cancelled by this side
+};
+
+/** What is known about an attempt after its end. */
+struct AttemptReport
+{
+    AttemptStatus status = AttemptStatus::NotSent;
+    unsigned httpStatus = 0; ///< valid if Answered
+    bool draining = false; ///< the upstream said that it is leaving
+    std::optional<unsigned> load; ///< requests in flight at the upstream, by its own report
+    std::optional<Duration> serviceTime; ///< time spent running, by its own report
+};
+
+/** An attempt to be made. */
+struct AttemptOrder
+{
+    CallId call;
+    AttemptId attempt;
+    UpstreamInfo upstream;
+    Duration timeout = Duration::zero();
+    bool idempotent = false; ///< if not, only recently used or new connections may carry it
+    bool hedge = false; ///< runs beside another attempt of the same call
+};
+
+/** Port through which the decisions leave. */
+class DispatcherOutput
+{
+public:
+    virtual ~DispatcherOutput() = default;
+    virtual void startAttempt(const AttemptOrder &order) = 0;
+    /** Cancels a running attempt; its end is still reported. */
+    virtual void cancelAttempt(AttemptId id) = 0;
+    /** Ends a call. @p winner is the attempt whose response is the answer, if Answered. */
+    virtual void finishCall(CallId id, Outcome outcome, Reason reason, AttemptId winner) = 0;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/rpc/agentlink.cpp
@@ -0,0 +1,93 @@
+#include "rpc/agentlink.h"
+
+#include "base/logline.h"
+#include "rpc/conversion.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr auto CallTimeout = 3 * kj::SECONDS;
+constexpr auto ReconnectDelay = 200 * kj::MILLISECONDS;
+
+void writeStatus(rpc::EntryReport::Builder report, const EntryStatus &status)
+{
+    report.setIncarnation(status.incarnation.value());
+    writeEndpoint(report.initCallerEndpoint(), status.callerEndpoint);
+    writeEndpoint(report.initLedgerEndpoint(), status.ledgerEndpoint);
+    report.setLeaving(status.leaving);
+    report.setConfigVersionInForce(status.configVersionInForce.value());
+}
+
+} // namespace
+
+AgentLink::AgentLink(const Endpoint &agent, ControlStateSink &sink)
+    : agent(agent)
+    , sink(sink)
+    , thread([this] { this->run(); })
+{
+}
+
+AgentLink::~AgentLink()
+{
+    this->stop();
+}
+
+void AgentLink::stop()
+{
+    this->stopping.store(true);
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void AgentLink::run()
+{
+    auto io = kj::setupAsyncIo();
+    while (!this->stopping.load()) {
+        try {
+            this->runConnection(io);
+        } catch (const kj::Exception &error) {
+            LogLine("agent_link_lost", LogLevel::Warning)
+                .add("agent", this->agent.toString())
+                .add("error", error.getDescription().cStr());
+            io.provider->getTimer().afterDelay(ReconnectDelay).wait(io.waitScope);
+        }
+    }
+}
+
+void AgentLink::runConnection(kj::AsyncIoContext &io)
+{
+    kj::Timer &timer = io.provider->getTimer();
+    auto address = io.provider->getNetwork()
+                       .parseAddress(this->agent.host, this->agent.port)
+                       .wait(io.waitScope);
+    auto stream = timer.timeoutAfter(CallTimeout, address->connect()).wait(io.waitScope);
+    capnp::TwoPartyClient client(*stream);
+    auto service = client.bootstrap().castAs<rpc::Agent>();
+    // A new connection may lead to a new agent whose sequence numbers mean other states.
+    std::uint64_t knownSequence = 0;
+    while (!this->stopping.load()) {
+        auto request = service.watchStateRequest();
+        request.setKnownSequence(knownSequence);
+        writeStatus(request.initReport(), this->sink.status());
+        // Counted from before the call: this process may be paused until it reads the answer.
+        const TimePoint asked = std::chrono::steady_clock::now();
+        auto response = timer.timeoutAfter(CallTimeout, request.send()).wait(io.waitScope);
+        const auto message = response.getState();
+        const TimePoint confirmedAt
+            = asked - std::chrono::milliseconds(message.getConfirmedAgeMs());
+        if (message.getChanged()) {
+            ControlState state = readControlState(message);
+            knownSequence = state.sequence;
+            this->sink.stateChanged(std::move(state), confirmedAt);
+        } else {
+            this->sink.stateConfirmed(confirmedAt);
+        }
+    }
+}
+
+} // namespace bronzeshed
