--- /dev/null
+++ b/tests/base/eventringtest.cpp
@@ -0,0 +1,52 @@
+#include "base/eventring.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <thread>
+
+using namespace bronzeshed;
+
+BOOST_AUTO_TEST_SUITE(event_ring)
+
+// Guards against silent loss: a full ring leaves the event with the producer.
+BOOST_AUTO_TEST_CASE(full_ring_keeps_the_event)
+{
+    Wakeup wakeup;
+    EventRing<std::unique_ptr<int>> ring(1, wakeup);
+    auto first = std::make_unique<int>(1);
+    auto second = std::make_unique<int>(2);
+    BOOST_REQUIRE(ring.tryPush(first));
+    BOOST_TEST(!ring.tryPush(second));
+    BOOST_REQUIRE(second != nullptr);
+    BOOST_TEST(*second == 2);
+    BOOST_TEST(**ring.tryPop() == 1);
+    BOOST_TEST(ring.tryPush(second));
+}
+
+// Guards against a lost wake-up: the consumer sleeps without a timeout that could hide it.
+BOOST_AUTO_TEST_CASE(consumer_sees_every_event)
+{
+    constexpr int Events = 20000;
+    Wakeup wakeup;
+    EventRing<int> ring(64, wakeup);
+    std::thread producer([&] {
+        for (int i = 0; i < Events; ++i) {
+            int event = i;
+            while (!ring.tryPush(event)) {
+                std::this_thread::yield();
+            }
+        }
+    });
+    int expected = 0;
+    while (expected < Events) {
+        if (const auto event = ring.tryPop()) {
+            BOOST_REQUIRE(*event == expected);
+            ++expected;
+            continue;
+        }
+        wakeup.wait(std::chrono::hours(1));
+    }
+    producer.join();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
