Add faults, leases and precise timing to the stand-ins

The stand-ins could neither fail nor be observed, and the 1 ms polling loop of standin-upstream added up to 1 ms to each piece of work. Timers now run on a thread that sleeps until the next one is due. Both handlers take a Clock, so that tests can decide the time.

HttpExchange gains drop() and connectionNumber(), which the platform's faults and silent connections need.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -84,6 +84,7 @@
     Endpoint bound;
     std::thread thread;
     std::set<Session *> sessions;
+    std::uint64_t lastConnection = 0;
     std::atomic<std::size_t> connections{0};
     std::atomic<std::size_t> pending{0};
     std::atomic<bool> draining{false};
@@ -96,6 +97,7 @@
     Session(tcp::socket socket, std::shared_ptr<Implementation> server)
         : server(std::move(server))
         , stream(std::move(socket))
+        , number(++this->server->lastConnection)
     {
         this->server->sessions.insert(this);
         this->server->connections.store(this->server->sessions.size());
@@ -115,6 +117,7 @@
     void close();
     void respond(std::uint64_t serial, const HttpResponse &response);
     void setGoneCallback(std::uint64_t serial, std::function<void()> callback);
+    void drop(std::uint64_t serial);
 
 private:
     class Exchange;
@@ -132,6 +135,7 @@
 
     std::shared_ptr<Implementation> server;
     beast::tcp_stream stream;
+    std::uint64_t number;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
@@ -149,13 +153,25 @@
 {
 public:
     Exchange(std::weak_ptr<Session> session, std::shared_ptr<Implementation> server,
-             std::uint64_t serial)
+             std::uint64_t serial, std::uint64_t connection)
         : session(std::move(session))
         , server(std::move(server))
         , serial(serial)
+        , connection(connection)
     {
     }
 
+    std::uint64_t connectionNumber() const override { return this->connection; }
+
+    void drop() override
+    {
+        asio::post(this->server->context, [session = this->session, serial = this->serial] {
+            if (const auto alive = session.lock()) {
+                alive->drop(serial);
+            }
+        });
+    }
+
     void respond(HttpResponse response) override
     {
         asio::post(this->server->context,
@@ -184,6 +200,7 @@
     std::weak_ptr<Session> session;
     std::shared_ptr<Implementation> server;
     std::uint64_t serial;
+    std::uint64_t connection;
 };
 
 void HttpServer::Implementation::open(const Endpoint &endpoint)
@@ -301,7 +318,8 @@
     ++this->serial;
     this->stream.expires_never();
     this->watchClient();
-    auto exchange = std::make_shared<Exchange>(this->weak_from_this(), this->server, this->serial);
+    auto exchange = std::make_shared<Exchange>(this->weak_from_this(), this->server, this->serial,
+                                               this->number);
     this->server->handler.handleRequest(std::move(request), std::move(exchange));
 }
 
@@ -418,6 +436,14 @@
     }
 }
 
+void HttpServer::Implementation::Session::drop(std::uint64_t forSerial)
+{
+    if (forSerial == this->serial && this->inFlight) {
+        this->goneCallback = nullptr;
+        this->close();
+    }
+}
+
 void HttpServer::Implementation::Session::setInFlight(bool value)
 {
     if (this->inFlight == value) {
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -32,6 +32,10 @@
     virtual void respond(HttpResponse response) = 0;
     /** Calls @p callback on the server's thread if the client closes before the response. */
     virtual void onClientGone(std::function<void()> callback) = 0;
+    /** Closes the connection without a response, as a failing server does. */
+    virtual void drop() { }
+    /** Number of the client's connection; numbers rise in the order of acceptance. */
+    virtual std::uint64_t connectionNumber() const { return 0; }
 };
 
 /** Receives the requests of a server, on the server's thread. */
--- a/src/standins/keyvaluestandin.cpp
+++ b/src/standins/keyvaluestandin.cpp
@@ -2,10 +2,16 @@
 
 namespace bronzeshed {
 
+namespace {
+
+constexpr std::size_t KeptValues = 16;
+
+} // namespace
+
 KeyValueStandin::Entry KeyValueStandin::get(const std::string &key) const
 {
     const auto found = this->entries.find(key);
-    return found == this->entries.end() ? Entry{} : found->second;
+    return found == this->entries.end() ? Entry{} : found->second.back();
 }
 
 bool KeyValueStandin::compareAndSwap(const std::string &key, std::uint64_t expected,
@@ -20,7 +26,22 @@
 
 void KeyValueStandin::overwrite(const std::string &key, std::string value)
 {
-    this->entries[key] = {std::move(value), ++this->lastRevision};
+    std::deque<Entry> &history = this->entries[key];
+    history.push_back({std::move(value), ++this->lastRevision});
+    if (history.size() > KeptValues) {
+        history.pop_front();
+    }
+}
+
+bool KeyValueStandin::restore(const std::string &key, std::size_t steps)
+{
+    const auto found = this->entries.find(key);
+    if (found == this->entries.end() || steps >= found->second.size()) {
+        return false;
+    }
+    const std::deque<Entry> &history = found->second;
+    this->overwrite(key, std::string(history[history.size() - 1 - steps].value));
+    return true;
 }
 
 } // namespace bronzeshed
--- a/src/standins/keyvaluestandin.h
+++ b/src/standins/keyvaluestandin.h
@@ -1,9 +1,9 @@
 #ifndef BRONZESHED_STANDINS_KEYVALUESTANDIN_H
 #define BRONZESHED_STANDINS_KEYVALUESTANDIN_H
 
-#include "http/httpmessage.h"
-
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -28,11 +28,18 @@
      */
     bool compareAndSwap(const std::string &key, std::uint64_t expected, std::string value);
 
-    /** Puts a value in place whatever the revision, as a restored backup would. */
+    /** Puts a value in place whatever the revision. */
     void overwrite(const std::string &key, std::string value);
 
+    /**
+     * Puts an older value back under a new revision, as a restored backup does.
+     * @param steps how many values to go back
+     * @return false if no value is known that is so old
+     */
+    bool restore(const std::string &key, std::size_t steps);
+
 private:
-    std::map<std::string, Entry> entries;
+    std::map<std::string, std::deque<Entry>> entries; ///< newest last
     std::uint64_t lastRevision = 0;
 };
 
--- a/src/standins/platformmain.cpp
+++ b/src/standins/platformmain.cpp
@@ -1,6 +1,6 @@
-#include "base/logline.h"
 #include "base/program.h"
 #include "standins/platformhandler.h"
+#include "standins/timerthread.h"
 
 #include <iostream>
 
@@ -8,17 +8,17 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TickPeriod{100};
+constexpr std::chrono::seconds SignalPoll{1};
 
 int runPlatform(const Settings &settings)
 {
     SignalMonitor signals;
-    PlatformHandler handler;
+    const SystemClock clock;
+    PlatformHandler handler(clock);
+    const TimerThread timers(handler);
     HttpServer server(settings.endpoint("listen"), HttpLimits{}, handler);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
-    while (signals.wait(TickPeriod) == StopRequest::None) {
-        handler.expireWatches(std::chrono::steady_clock::now());
-    }
+    while (signals.wait(SignalPoll) == StopRequest::None) { }
     server.stop();
     return 0;
 }
--- a/src/standins/upstreamhandler.h
+++ b/src/standins/upstreamhandler.h
@@ -1,57 +1,67 @@
 #ifndef BRONZESHED_STANDINS_UPSTREAMHANDLER_H
 #define BRONZESHED_STANDINS_UPSTREAMHANDLER_H
 
-#include "base/random.h"
-#include "base/timerservice.h"
-#include "http/httpserver.h"
+#include "standins/laggedvalue.h"
+#include "standins/timedhandler.h"
+#include "standins/upstreambehaviour.h"
 
 #include <deque>
 #include <map>
-#include <mutex>
 
 namespace bronzeshed {
 
-/** How an upstream stand-in behaves. */
-struct UpstreamOptions
-{
-    unsigned slots = 2;
-    std::chrono::microseconds meanWork{5000};
-    std::size_t maxQueue = 16;
-};
-
 /**
  * Server with a fixed number of slots and exponentially distributed work. It counts the executions
- * of each request identity.
+ * of each request identity. Besides work it serves
+ * - GET /executions: lines "identity count";
+ * - GET /health and GET /load: state and load, older than now by the report lag;
+ * - PUT /control/state?duration-ms=N: the body names a mode, or is "silent": connections that are
+ *   open now get no more answers.
  */
-class UpstreamHandler : public HttpHandler
+class UpstreamHandler : public TimedHandler
 {
 public:
-    explicit UpstreamHandler(const UpstreamOptions &options);
+    UpstreamHandler(const UpstreamOptions &options, const Clock &clock, std::uint64_t seed);
 
     void handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override;
 
-    /** Finishes work that is due. */
-    void fire(TimePoint now);
-    /** When the next work is done. */
-    std::optional<TimePoint> nextDue();
-
 private:
     struct Work
     {
-        std::string id;
         HttpRequest request;
         std::shared_ptr<HttpExchange> exchange;
+        bool running = false;
+        Duration spent = Duration::zero();
+        TimerId end; ///< of the work while it runs
+        std::optional<TimerId> deadline;
     };
+    using WorkNumber = std::uint64_t;
 
-    void start(Work work);
-    void finish(const Work &work, Duration spent);
+    /** @return whether the request was one to the stand-in itself */
+    bool handleControl(const HttpRequest &request, HttpExchange &exchange);
+    HttpResponse changeState(const HttpRequest &request, const HttpExchange &exchange);
+    void receive(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
+    bool refuse(const std::shared_ptr<HttpExchange> &exchange);
+    void startWaiting();
+    void start(WorkNumber number);
+    void finish(WorkNumber number);
+    void expire(WorkNumber number);
+    void cancel(WorkNumber number);
+    void remove(WorkNumber number);
+    void send(const std::shared_ptr<HttpExchange> &exchange, HttpResponse response);
+    void deliver(const std::shared_ptr<HttpExchange> &exchange, HttpResponse response);
+    void recordLoad();
 
-    std::mutex mutex;
     UpstreamOptions options;
     SeededRandom random;
-    TimerService timers;
-    std::deque<Work> queue;
+    UpstreamBehaviour behaviour;
+    std::map<WorkNumber, Work> works;
+    std::deque<WorkNumber> queue;
+    WorkNumber lastWork = 0;
     unsigned running = 0;
+    std::uint64_t lastSilentConnection = 0;
+    LaggedValue<std::size_t> load;
+    LaggedValue<std::string> health;
     std::map<std::string, unsigned> executions;
 };
 
--- a/src/standins/upstreammain.cpp
+++ b/src/standins/upstreammain.cpp
@@ -1,7 +1,7 @@
 #include "base/program.h"
+#include "standins/timerthread.h"
 #include "standins/upstreamhandler.h"
 
-#include <algorithm>
 #include <iostream>
 
 namespace bronzeshed {
@@ -9,26 +9,33 @@
 namespace {
 
 constexpr std::uint64_t MaxSlots = 1000;
-constexpr std::uint64_t MaxWorkUs = 10000000;
-constexpr std::chrono::milliseconds TickPeriod{1};
+constexpr std::uint64_t MaxMicros = 10000000;
+constexpr std::uint64_t MaxMs = 600000;
+constexpr std::chrono::seconds SignalPoll{1};
 
 UpstreamOptions readOptions(const Settings &settings)
 {
     UpstreamOptions options;
+    options.id = settings.text("id");
     options.slots = static_cast<unsigned>(settings.number("slots", 1, MaxSlots));
-    options.meanWork = std::chrono::microseconds(settings.number("work-us", 1, MaxWorkUs));
+    options.meanWork = std::chrono::microseconds(settings.number("work-us", 1, MaxMicros));
+    options.maxQueue = settings.number("queue", 0, MaxSlots);
+    options.latency = std::chrono::microseconds(settings.number("latency-us", 0, MaxMicros));
+    options.reportLag = settings.milliseconds("report-lag-ms", 0, MaxMs);
+    options.coldStart = settings.milliseconds("cold-ms", 0, MaxMs);
+    options.noisy = settings.isOn("noisy");
     return options;
 }
 
 int runUpstream(const Settings &settings)
 {
     SignalMonitor signals;
-    UpstreamHandler handler(readOptions(settings));
+    const SystemClock clock;
+    UpstreamHandler handler(readOptions(settings), clock, makeSystemRandom().next());
+    const TimerThread timers(handler);
     HttpServer server(settings.endpoint("listen"), HttpLimits{}, handler);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
-    while (signals.wait(TickPeriod) == StopRequest::None) {
-        handler.fire(std::chrono::steady_clock::now());
-    }
+    while (signals.wait(SignalPoll) == StopRequest::None) { }
     server.stop();
     return 0;
 }
@@ -46,9 +53,17 @@
 int main(int argc, char **argv)
 {
     using namespace bronzeshed;
-    Settings settings("standin-upstream", "Stand-in for an upstream server.",
-                      {{"listen", "127.0.0.1:0", "address to listen on"},
-                       {"slots", "2", "requests run at the same time"},
-                       {"work-us", "5000", "mean work of a request in microseconds"}});
+    const std::vector<SettingSpec> specs{
+        {"listen", "127.0.0.1:0", "address to listen on"},
+        {"id", "upstream", "name of this upstream, sent with each answer"},
+        {"slots", "2", "requests run at the same time"},
+        {"work-us", "5000", "mean work of a request in microseconds"},
+        {"queue", "16", "requests that wait; more are refused"},
+        {"latency-us", "0", "one-way latency in microseconds, added to requests and answers"},
+        {"report-lag-ms", "500", "age of what /health and /load show"},
+        {"cold-ms", "0", "time after the start at a third of the speed"},
+        {"noisy", "", "work at a third of the speed at random times", false, true},
+    };
+    Settings settings("standin-upstream", "Stand-in for an upstream server.", specs);
     return runProgram(argc, argv, settings, checkSettings, runUpstream);
 }
