--- /dev/null
+++ b/src/replay/calltransport.h
@@ -0,0 +1,25 @@
+#ifndef BRONZESHED_REPLAY_CALLTRANSPORT_H
+#define BRONZESHED_REPLAY_CALLTRANSPORT_H
+
+#include "http/connectionpool.h"
+
+#include <functional>
+
+namespace bronzeshed {
+
+/** Port through which replayed calls are sent. */
+class CallTransport
+{
+public:
+    using Callback = std::function<void(ExchangeResult result)>;
+
+    virtual ~CallTransport() = default;
+    /** Sends a request. @p callback is called once, later, on the replay's thread. */
+    virtual void send(const Endpoint &endpoint, const HttpRequest &request, ConnectionUse use,
+                      Duration timeout, Callback callback)
+        = 0;
+};
+
+} // namespace bronzeshed
+
+#endif
