--- a/src/replay/tracegenerator.cpp
+++ b/src/replay/tracegenerator.cpp
@@ -87,18 +87,17 @@
 {
     TraceProfile profile;
     if (name == "tidemark") {
-        profile.classes = {{ClassName("schedule-reads"), "GET", "/schedule", 0.5, 0},
-                           {ClassName("bulletin-reads"), "GET", "/bulletin", 0.3, 0},
-                           {ClassName("transmitter-handovers"), "POST", "/handover", 0.1, 300},
-                           {ClassName("correction-notices"), "POST", "/notice", 0.1, 800}};
+        profile.classes = {{ClassName("schedule-reads"), "GET", "/schedule", 0.8, 0},
+                           {ClassName("handovers"), "POST", "/handover", 0.1, 300},
+                           {ClassName("notices"), "POST", "/notice", 0.1, 800}};
         profile.regions = {RegionName("puget"), RegionName("columbia"), RegionName("okanagan")};
         profile.callsPerSecond = 500.0;
         return profile;
     }
     if (name == "groyne") {
-        profile.classes = {{ClassName("condition-log-reads"), "GET", "/log", 0.7, 0},
-                           {ClassName("repair-completions"), "POST", "/completion", 0.2, 500},
-                           {ClassName("armour-stone-orders"), "POST", "/order", 0.1, 300}};
+        profile.classes = {{ClassName("log-reads"), "GET", "/log", 0.7, 0},
+                           {ClassName("completions"), "POST", "/completion", 0.2, 500},
+                           {ClassName("orders"), "POST", "/order", 0.1, 300}};
         profile.regions = {RegionName("western"), RegionName("southern"), RegionName("eastern")};
         profile.callsPerSecond = 300.0;
         return profile;
