--- a/tests/replay/callstatisticstest.cpp
+++ b/tests/replay/callstatisticstest.cpp
@@ -46,6 +46,8 @@
     BOOST_TEST(quantile(values, 0.99).count() == 990);
     BOOST_TEST(quantile(values, 0.999).count() == 999);
     BOOST_TEST(quantile(values, 1.0).count() == 1000);
+    values.resize(10);
+    BOOST_TEST(quantile(values, 0.99).count() == 10);
     BOOST_TEST(quantile({Duration(3)}, 0.01).count() == 3);
     BOOST_TEST(quantile({}, 0.99).count() == 0);
 }
