Add configuration acceptance, its keeper and the operator API of the agent

The agent could only read the record. ConfigHistory holds the acceptance rules, ConfigKeeper changes the record by compare-and-swap and settles lost replies, OperatorApi serves operators over HTTP. AgentState gets mergeMarks(), and keeps newer leave marks when it adopts a record.

--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -56,7 +56,18 @@
 {
     const std::lock_guard lock(this->mutex);
     if (record.version > this->newest.version) {
+        // Marks that are in force here but not yet recorded must survive the newer record.
+        LeaveMarks marks = std::move(this->newest.leaveMarks);
         this->newest = record;
+        mergeLeaveMarks(this->newest.leaveMarks, marks);
+        ++this->sequence;
+    }
+}
+
+void AgentState::mergeMarks(const LeaveMarks &marks)
+{
+    const std::lock_guard lock(this->mutex);
+    if (mergeLeaveMarks(this->newest.leaveMarks, marks)) {
         ++this->sequence;
     }
 }
--- a/src/agent/agentstate.h
+++ b/src/agent/agentstate.h
@@ -22,6 +22,8 @@
 
     /** Takes over a record unless its version is lower. */
     void adoptRecord(const ConfigRecord &record);
+    /** Takes over newer leave marks. */
+    void mergeMarks(const LeaveMarks &marks);
     void adoptInstances(const InstanceSnapshot &snapshot);
     /** Another process confirmed the state just now. */
     void confirm(TimePoint now);
--- /dev/null
+++ b/src/agent/configkeeper.cpp
@@ -0,0 +1,330 @@
+#include "agent/configkeeper.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace bronzeshed {
+
+namespace {
+
+/** Repeats of one swap whose reply was lost, before its outcome is reported as unknown. */
+constexpr int MaxSwaps = 3;
+/** Fresh reads for a leave mark that lost against another change. */
+constexpr int MaxMarkAttempts = 5;
+/** Marks that wait for the store; more would mean that an operator repeats them by script. */
+constexpr std::size_t MaxPendingMarks = 1024;
+/** Pages tried when older pages turn up that the record does not count. */
+constexpr int MaxPageAttempts = 1000;
+const std::string RestoreOperator = "bronzeshed";
+
+ConfigRecord parseStored(const StoredValue &stored)
+{
+    return stored.revision == 0 ? ConfigRecord{} : parseConfigRecord(stored.value);
+}
+
+ChangeConflict conflictWith(const ConfigRecord &winner)
+{
+    const std::string name = winner.audit.empty() ? "" : winner.audit.back().operatorName;
+    return {name, winner.version};
+}
+
+} // namespace
+
+ConfigKeeper::ConfigKeeper(ConfigKeeperPort &agent, KeyValueStore &store, Random &random,
+                           WallClock clock)
+    : agent(agent)
+    , store(store)
+    , random(random)
+    , clock(std::move(clock))
+{
+}
+
+ChangeResult ConfigKeeper::apply(const std::string &declarationText, ConfigVersion base,
+                                 const std::string &operatorName, const std::string &writeId)
+{
+    const std::lock_guard lock(this->mutex);
+    const ConfigChange change = this->makeChange(operatorName, "apply", writeId);
+    try {
+        // Refuses a bad declaration without any call to the store.
+        ConfigHistory::withDeclaration({}, base.next(), declarationText, change);
+        const View view = this->readView();
+        if (const auto entry = ConfigHistory::findWrite(view.newest, change.writeId)) {
+            return ChangeAccepted{entry->to};
+        }
+        if (view.newest.version != base) {
+            return conflictWith(view.newest);
+        }
+        this->requireNewest(view.newest);
+        ConfigRecord next = ConfigHistory::withDeclaration(view.newest, this->nextVersion(view),
+                                                           declarationText, change);
+        this->archive(next);
+        return this->commit(view.revision, next);
+    } catch (const UnavailableError &error) {
+        return StoreUnavailable{error.what()};
+    } catch (const Error &error) {
+        return ChangeRefused{error.what()};
+    }
+}
+
+ChangeResult ConfigKeeper::setLeaving(const UpstreamId &upstream, bool leaving,
+                                      const std::string &operatorName, const std::string &writeId)
+{
+    const std::lock_guard lock(this->mutex);
+    const LeaveMarks known = this->agent.record().leaveMarks;
+    const auto upstreams = this->agent.upstreams();
+    const bool listed = std::any_of(upstreams.begin(), upstreams.end(),
+                                    [&](const UpstreamInfo &info) { return info.id == upstream; });
+    const auto mark = known.find(upstream);
+    if (!listed && mark == known.end()) {
+        return ChangeRefused{"upstream '" + upstream.value()
+                             + "' is not in the instance list; check the id with 'status'"};
+    }
+    if (this->pending.size() >= MaxPendingMarks) {
+        return ChangeRefused{"too many leave marks wait for the store; repeat when it answers"};
+    }
+    const std::uint64_t counter = mark == known.end() ? 1 : mark->second.counter + 1;
+    const std::string action = (leaving ? "leave " : "return ") + upstream.value();
+    PendingMark next{{{upstream, {counter, leaving}}},
+                     this->makeChange(operatorName, action, writeId)};
+    try {
+        // Refuses a malformed operator name before the mark takes effect anywhere.
+        ConfigHistory::withLeaveMarks({}, ConfigVersion(1), next.marks, next.change);
+    } catch (const Error &error) {
+        return ChangeRefused{error.what()};
+    }
+    this->agent.mergeMarks(next.marks);
+    const ChangeResult result = this->record(next);
+    if (std::holds_alternative<ChangeAccepted>(result)) {
+        return result;
+    }
+    this->pending.push_back(next);
+    return MarkInForce{next.change.writeId};
+}
+
+std::size_t ConfigKeeper::recordPending()
+{
+    const std::lock_guard lock(this->mutex);
+    while (!this->pending.empty()) {
+        const ChangeResult result = this->record(this->pending.front());
+        if (const auto *failure = std::get_if<StoreUnavailable>(&result)) {
+            LogLine("leave_mark_not_recorded", LogLevel::Warning).add("error", failure->error);
+        }
+        if (!std::holds_alternative<ChangeAccepted>(result)) {
+            break;
+        }
+        this->pending.pop_front();
+    }
+    return this->pending.size();
+}
+
+bool ConfigKeeper::restoreIfLower()
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->agent.isFirstForConfig()) {
+        return false;
+    }
+    try {
+        const ConfigRecord own = this->agent.record();
+        const View view = this->readView();
+        if (!ConfigHistory::isNewer(view.stored.version, own.version)) {
+            return false;
+        }
+        this->requireNewest(own);
+        const ConfigChange change = this->makeChange(RestoreOperator, "restore", {});
+        ConfigRecord next = ConfigHistory::restored(own, view.stored, change);
+        this->archive(next);
+        const ChangeResult result = this->commit(view.revision, next);
+        LogLine("config_restored", LogLevel::Warning)
+            .add("stored_version", view.stored.version.value())
+            .add("version", next.version.value())
+            .add("done", std::holds_alternative<ChangeAccepted>(result));
+        return std::holds_alternative<ChangeAccepted>(result);
+    } catch (const Error &error) {
+        LogLine("config_restore_failed", LogLevel::Warning).add("error", error.what());
+        return false;
+    }
+}
+
+ConfigKeeper::View ConfigKeeper::readView()
+{
+    const StoredValue stored = this->store.get(ConfigKey);
+    View view;
+    view.revision = stored.revision;
+    view.stored = parseStored(stored);
+    view.newest = this->newestRecord(view.stored, this->agent.record());
+    return view;
+}
+
+ConfigRecord ConfigKeeper::newestRecord(const ConfigRecord &stored, const ConfigRecord &own)
+{
+    if (ConfigHistory::isNewer(own.version, stored.version)) {
+        this->agent.adoptRecord(stored);
+    }
+    const bool ownIsNewer = ConfigHistory::isNewer(stored.version, own.version);
+    ConfigRecord newest = ownIsNewer ? own : stored;
+    if (ownIsNewer) {
+        ConfigHistory::mergeHistory(newest, stored);
+    } else {
+        mergeLeaveMarks(newest.leaveMarks, own.leaveMarks);
+    }
+    return newest;
+}
+
+std::vector<ConfigVersion> ConfigKeeper::fleetVersions(bool liveOnly)
+{
+    std::vector<ConfigVersion> versions;
+    for (const Member &member : this->agent.members()) {
+        if (!liveOnly || member.state != MemberState::Dead) {
+            versions.push_back(member.configVersion);
+        }
+    }
+    return versions;
+}
+
+void ConfigKeeper::requireNewest(const ConfigRecord &newest)
+{
+    for (const ConfigVersion version : this->fleetVersions(true)) {
+        if (ConfigHistory::isNewer(newest.version, version)) {
+            throw UnavailableError("a live instance has configuration version "
+                                       + std::to_string(version.value())
+                                       + " in force, which neither this agent nor the store holds",
+                                   "repeat in a few seconds, or use that instance's agent");
+        }
+    }
+}
+
+ConfigVersion ConfigKeeper::nextVersion(const View &view)
+{
+    return ConfigHistory::nextVersion(view.stored.version, view.newest.version,
+                                      this->fleetVersions(false));
+}
+
+void ConfigKeeper::archive(ConfigRecord &record)
+{
+    for (int attempt = 0; attempt < MaxPageAttempts; ++attempt) {
+        auto page = ConfigHistory::pageToArchive(record);
+        if (!page) {
+            ConfigHistory::checkSize(record);
+            return;
+        }
+        if (this->writePage(*page)) {
+            ConfigHistory::trim(record, *page);
+        } else {
+            ++record.archivedPages;
+        }
+    }
+    throw UnavailableError("no free audit page was found",
+                           "check the keys below bronzeshed/audit in the store");
+}
+
+/** Returns false if the page number holds other entries. */
+bool ConfigKeeper::writePage(const AuditPage &page)
+{
+    const std::string key = auditPageKey(page.number);
+    const std::string text = serializeAuditPage(page);
+    if (this->store.compareAndSwap(key, 0, text) == SwapResult::Swapped) {
+        return true;
+    }
+    const StoredValue found = this->store.get(key);
+    if (found.revision == 0) {
+        throw UnavailableError("an audit page could not be written",
+                               "repeat when the store answers again");
+    }
+    return found.value == text;
+}
+
+ChangeResult ConfigKeeper::commit(std::uint64_t revision, const ConfigRecord &record)
+{
+    const std::string text = serializeConfigRecord(record);
+    bool maybeWritten = false;
+    for (int swap = 0; swap < MaxSwaps; ++swap) {
+        const SwapResult result = this->store.compareAndSwap(ConfigKey, revision, text);
+        if (result == SwapResult::Swapped) {
+            this->agent.adoptRecord(record);
+            return ChangeAccepted{record.version};
+        }
+        maybeWritten = maybeWritten || result == SwapResult::Unknown;
+        if (const auto settled = this->settle(record, revision, maybeWritten)) {
+            return *settled;
+        }
+    }
+    return ChangeUnknown{record.writeId};
+}
+
+/** Reads the record back. Returns nothing if the same swap is to be repeated. */
+std::optional<ChangeResult> ConfigKeeper::settle(const ConfigRecord &record, std::uint64_t revision,
+                                                 bool maybeWritten)
+{
+    try {
+        const StoredValue stored = this->store.get(ConfigKey);
+        if (stored.revision == revision) {
+            return std::nullopt;
+        }
+        const ConfigRecord found = parseStored(stored);
+        if (const auto entry = ConfigHistory::findWrite(found, record.writeId)) {
+            this->agent.adoptRecord(found);
+            return ChangeAccepted{entry->to};
+        }
+        // A store that fell back after the swap no longer shows whether the swap took effect.
+        if (maybeWritten && found.version < record.version) {
+            return ChangeUnknown{record.writeId};
+        }
+        this->agent.adoptRecord(found);
+        return conflictWith(found);
+    } catch (const Error &error) {
+        if (maybeWritten) {
+            return ChangeUnknown{record.writeId};
+        }
+        return StoreUnavailable{std::string("another change came first and cannot be read: ")
+                                + error.what()};
+    }
+}
+
+ChangeResult ConfigKeeper::record(const PendingMark &mark)
+{
+    ChangeResult result = ChangeConflict{};
+    for (int attempt = 0; attempt < MaxMarkAttempts; ++attempt) {
+        result = this->tryRecord(mark);
+        if (!std::holds_alternative<ChangeConflict>(result)) {
+            break;
+        }
+    }
+    return result;
+}
+
+ChangeResult ConfigKeeper::tryRecord(const PendingMark &mark)
+{
+    try {
+        const View view = this->readView();
+        if (const auto entry = ConfigHistory::findWrite(view.newest, mark.change.writeId)) {
+            return ChangeAccepted{entry->to};
+        }
+        this->requireNewest(view.newest);
+        ConfigRecord next = ConfigHistory::withLeaveMarks(view.newest, this->nextVersion(view),
+                                                          mark.marks, mark.change);
+        this->archive(next);
+        return this->commit(view.revision, next);
+    } catch (const Error &error) {
+        // The mark is in force already, so it waits whatever the reason.
+        return StoreUnavailable{error.what()};
+    }
+}
+
+ConfigChange ConfigKeeper::makeChange(const std::string &operatorName, std::string action,
+                                      const std::string &writeId)
+{
+    std::string id = writeId;
+    if (id.empty()) {
+        char buffer[33];
+        std::snprintf(buffer, sizeof buffer, "%016llx%016llx",
+                      static_cast<unsigned long long>(this->random.next()),
+                      static_cast<unsigned long long>(this->random.next()));
+        id = buffer;
+    }
+    return {this->clock(), operatorName, std::move(action), id};
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/agent/configkeeper.h
@@ -0,0 +1,91 @@
+#ifndef BRONZESHED_AGENT_CONFIGKEEPER_H
+#define BRONZESHED_AGENT_CONFIGKEEPER_H
+
+#include "agent/configkeeperport.h"
+#include "agent/configkeeperresult.h"
+#include "base/random.h"
+#include "config/confighistory.h"
+#include "platform/keyvaluestore.h"
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace bronzeshed {
+
+/**
+ * Changes the configuration record in the store. Calls block on the store; concurrent calls wait
+ * for each other.
+ */
+class ConfigKeeper
+{
+public:
+    /** Wall-clock time in milliseconds since 1970, for audit entries. */
+    using WallClock = std::function<std::int64_t()>;
+
+    ConfigKeeper(ConfigKeeperPort &agent, KeyValueStore &store, Random &random, WallClock clock);
+
+    /**
+     * Replaces the declaration if the configuration is still of version @p base.
+     * @param writeId id of this change; a new one is made if it is empty
+     */
+    ChangeResult apply(const std::string &declarationText, ConfigVersion base,
+                       const std::string &operatorName, const std::string &writeId = {});
+
+    /** Marks an upstream as leaving or returned, at once even if the store does not answer. */
+    ChangeResult setLeaving(const UpstreamId &upstream, bool leaving,
+                            const std::string &operatorName, const std::string &writeId = {});
+
+    /** Records the leave marks that could not be recorded yet. @return how many still wait */
+    std::size_t recordPending();
+
+    /**
+     * Swaps the agent's record back in if the store holds a lower version and this agent is first.
+     * @return whether the store was written
+     */
+    bool restoreIfLower();
+
+private:
+    /** What the store holds, and the newer one of its record and the agent's. */
+    struct View
+    {
+        std::uint64_t revision = 0;
+        ConfigRecord stored;
+        ConfigRecord newest;
+    };
+
+    struct PendingMark
+    {
+        LeaveMarks marks;
+        ConfigChange change;
+    };
+
+    View readView();
+    ConfigRecord newestRecord(const ConfigRecord &stored, const ConfigRecord &own);
+    std::vector<ConfigVersion> fleetVersions(bool liveOnly);
+    /** @throws UnavailableError if a live member has a version that is neither here nor stored */
+    void requireNewest(const ConfigRecord &newest);
+    ConfigVersion nextVersion(const View &view);
+    void archive(ConfigRecord &record);
+    bool writePage(const AuditPage &page);
+    ChangeResult commit(std::uint64_t revision, const ConfigRecord &record);
+    std::optional<ChangeResult> settle(const ConfigRecord &record, std::uint64_t revision,
+                                       bool maybeWritten);
+    ChangeResult record(const PendingMark &mark);
+    ChangeResult tryRecord(const PendingMark &mark);
+    ConfigChange makeChange(const std::string &operatorName, std::string action,
+                            const std::string &writeId);
+
+    ConfigKeeperPort &agent;
+    KeyValueStore &store;
+    Random &random;
+    WallClock clock;
+    std::mutex mutex;
+    std::deque<PendingMark> pending; ///< marks in force that the store does not hold yet
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/agent/configkeeperadapter.h
@@ -0,0 +1,29 @@
+#ifndef BRONZESHED_AGENT_CONFIGKEEPERADAPTER_H
+#define BRONZESHED_AGENT_CONFIGKEEPERADAPTER_H
+
+#include "agent/agentstate.h"
+#include "agent/configkeeperport.h"
+
+namespace bronzeshed {
+
+/** Gives the configuration keeper its view of the agent's state. */
+class ConfigKeeperAdapter : public ConfigKeeperPort
+{
+public:
+    ConfigKeeperAdapter(AgentState &state, InstanceId self);
+
+    ConfigRecord record() override;
+    void adoptRecord(const ConfigRecord &record) override;
+    void mergeMarks(const LeaveMarks &marks) override;
+    std::vector<Member> members() override;
+    std::vector<UpstreamInfo> upstreams() override;
+    bool isFirstForConfig() override;
+
+private:
+    AgentState &state;
+    InstanceId self;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,4 +1,6 @@
 #include "agent/agentstate.h"
+#include "agent/configkeeperadapter.h"
+#include "agent/operatorapi.h"
 #include "base/error.h"
 #include "base/logline.h"
 #include "base/program.h"
@@ -20,6 +22,17 @@
     settings.endpoint("listen");
     settings.endpoint("store");
     settings.endpoint("instance-list");
+    const bool hasToken = !settings.text("operator-token").empty();
+    if (!hasToken && !isLoopback(settings.endpoint("operator-listen"))) {
+        throw SettingsError("flag --operator-listen opens the operator API to other machines",
+                            "set BRONZESHED_OPERATOR_TOKEN or listen on 127.0.0.1");
+    }
+}
+
+std::int64_t wallClockMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
 void poll(AgentState &state, KeyValueStore &store, InstanceList &list, std::uint64_t &revision)
@@ -48,11 +61,20 @@
     HttpKeyValueStore store(settings.endpoint("store"), PlatformTimeout);
     HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
     AgentServer server(listen, state);
+
+    ConfigKeeperAdapter adapter(state, InstanceId(settings.text("instance")));
+    SeededRandom writeIds = makeSystemRandom();
+    ConfigKeeper keeper(adapter, store, writeIds, wallClockMs);
+    OperatorApi operatorApi(adapter, store, keeper, settings.text("operator-token"));
+    HttpServer operatorServer(settings.endpoint("operator-listen"), HttpLimits{}, operatorApi);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
+    std::cout << "operator-listening " << operatorServer.localEndpoint().toString() << std::endl;
     std::uint64_t revision = 0;
     do {
         poll(state, store, list, revision);
     } while (signals.wait(PollPeriod) == StopRequest::None);
+    operatorServer.stop();
+    operatorApi.stop();
     server.stop();
     return 0;
 }
@@ -71,6 +93,8 @@
         {"listen", "", "address for RPC from the entry and from other agents", true},
         {"store", "", "address of the platform's key-value service", true},
         {"instance-list", "", "address of the platform's instance list", true},
+        {"operator-listen", "127.0.0.1:0", "address of the operator API"},
+        {"operator-token", "", "bearer token for the operator API; set it by the environment only"},
     };
     Settings settings("bronzeshed-agent", "Keeps the control state of one entry instance.", specs);
     return runProgram(argc, argv, settings, checkSettings, runAgent);
--- /dev/null
+++ b/src/agent/operatorreplies.cpp
@@ -0,0 +1,164 @@
+#include "agent/operatorreplies.h"
+
+#include "base/error.h"
+#include "config/declaration.h"
+
+#include <boost/json.hpp>
+
+namespace bronzeshed {
+
+namespace json = boost::json;
+
+namespace {
+
+std::int64_t toJson(ConfigVersion version)
+{
+    return static_cast<std::int64_t>(version.value());
+}
+
+HttpResponse reply(unsigned status, const json::value &body)
+{
+    return makeJsonResponse(status, json::serialize(body) + "\n");
+}
+
+/** One response for each result. */
+struct ChangeWriter
+{
+    HttpResponse operator()(const ChangeAccepted &accepted) const
+    {
+        return reply(200, {{"outcome", "accepted"}, {"version", toJson(accepted.version)}});
+    }
+    HttpResponse operator()(const ChangeConflict &conflict) const
+    {
+        return reply(409,
+                     {{"outcome", "conflict"},
+                      {"operator", conflict.operatorName},
+                      {"version", toJson(conflict.version)},
+                      {"error", "another change came first; compare with 'diff' and apply again"}});
+    }
+    HttpResponse operator()(const ChangeRefused &refused) const
+    {
+        return reply(422, {{"outcome", "refused"}, {"error", refused.error}});
+    }
+    HttpResponse operator()(const ChangeUnknown &unknown) const
+    {
+        return reply(504,
+                     {{"outcome", "unknown"},
+                      {"write_id", unknown.writeId},
+                      {"error",
+                       "the store did not say whether the change took effect; look for the write "
+                       "id with 'history' before applying again"}});
+    }
+    HttpResponse operator()(const StoreUnavailable &unavailable) const
+    {
+        return reply(503, {{"outcome", "store_unavailable"}, {"error", unavailable.error}});
+    }
+    HttpResponse operator()(const MarkInForce &mark) const
+    {
+        return reply(202,
+                     {{"outcome", "in_force_not_recorded"},
+                      {"write_id", mark.writeId},
+                      {"error",
+                       "the mark is in force and spreads but is not yet recorded in the store; "
+                       "keep this agent running until 'history' shows the write id"}});
+    }
+};
+
+const char *stateName(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return "alive";
+    case MemberState::Suspect:
+        return "suspect";
+    case MemberState::Leaving:
+        return "leaving";
+    case MemberState::Dead:
+        return "dead";
+    }
+    return "unknown";
+}
+
+json::array writeMembers(const std::vector<Member> &members)
+{
+    json::array instances;
+    for (const Member &member : members) {
+        instances.push_back({{"id", member.id.value()},
+                             {"region", member.region.value()},
+                             {"zone", member.zone.value()},
+                             {"state", stateName(member.state)},
+                             {"version", toJson(member.configVersion)}});
+    }
+    return instances;
+}
+
+json::array writeUpstreams(const ConfigRecord &record, const std::vector<UpstreamInfo> &upstreams)
+{
+    json::array list;
+    for (const UpstreamInfo &upstream : upstreams) {
+        const auto mark = record.leaveMarks.find(upstream.id);
+        const bool marked = mark != record.leaveMarks.end() && mark->second.leaving;
+        list.push_back({{"id", upstream.id.value()},
+                        {"service", upstream.service.value()},
+                        {"region", upstream.region.value()},
+                        {"zone", upstream.zone.value()},
+                        {"leaving", upstream.leaving || marked}});
+    }
+    return list;
+}
+
+json::array writeClasses(const std::string &declarationText)
+{
+    json::array classes;
+    if (declarationText.empty()) {
+        return classes;
+    }
+    const Declaration declaration = parseDeclaration(declarationText);
+    for (const auto &[name, target] : declaration.classes) {
+        classes.push_back({{"name", name.value()},
+                           {"service", target.service.value()},
+                           {"answer_within_ms", target.answerWithin.count()},
+                           {"share", target.share},
+                           {"repeatable", target.repeatable},
+                           {"deadline_ms", target.deadline.count()}});
+    }
+    return classes;
+}
+
+} // namespace
+
+HttpResponse changeResponse(const ChangeResult &result)
+{
+    return std::visit(ChangeWriter{}, result);
+}
+
+HttpResponse failureResponse(unsigned status, const std::string &problem, const std::string &remedy)
+{
+    return reply(status, {{"outcome", "failed"}, {"error", problem + "; " + remedy}});
+}
+
+HttpResponse declarationResponse(const ConfigRecord &record)
+{
+    return reply(200,
+                 {{"version", toJson(record.version)}, {"declaration", record.declarationText}});
+}
+
+HttpResponse statusResponse(const ConfigRecord &record, const std::vector<Member> &members,
+                            const std::vector<UpstreamInfo> &upstreams)
+{
+    return reply(200,
+                 {{"version", toJson(record.version)},
+                  {"instances", writeMembers(members)},
+                  {"upstreams", writeUpstreams(record, upstreams)},
+                  {"classes", writeClasses(record.declarationText)}});
+}
+
+HttpResponse historyResponse(const ConfigRecord &record)
+{
+    return reply(200,
+                 {{"version", toJson(record.version)},
+                  {"archived_pages", static_cast<std::int64_t>(record.archivedPages)},
+                  {"entries", json::parse(serializeAuditEntries(record.audit))}});
+}
+
+} // namespace bronzeshed
--- a/src/config/configrecord.cpp
+++ b/src/config/configrecord.cpp
@@ -53,6 +53,20 @@
     return value.get_object();
 }
 
+json::array writeAuditEntries(const std::vector<AuditEntry> &entries)
+{
+    json::array audit;
+    for (const AuditEntry &entry : entries) {
+        audit.push_back({{"time_ms", entry.timeMs},
+                         {"operator", entry.operatorName},
+                         {"action", entry.action},
+                         {"from", static_cast<std::int64_t>(entry.from.value())},
+                         {"to", static_cast<std::int64_t>(entry.to.value())},
+                         {"write_id", entry.writeId}});
+    }
+    return audit;
+}
+
 AuditEntry readAuditEntry(const json::object &object)
 {
     AuditEntry entry;
@@ -72,7 +86,8 @@
     bool changed = false;
     for (const auto &[upstream, mark] : source) {
         LeaveMark &known = target[upstream];
-        if (mark.counter > known.counter) {
+        const bool tied = mark.counter == known.counter && mark.leaving && !known.leaving;
+        if (mark.counter > known.counter || tied) {
             known = mark;
             changed = true;
         }
@@ -80,6 +95,25 @@
     return changed;
 }
 
+std::string serializeAuditEntries(const std::vector<AuditEntry> &entries)
+{
+    return json::serialize(writeAuditEntries(entries));
+}
+
+std::vector<AuditEntry> parseAuditEntries(const std::string &text)
+{
+    boost::system::error_code error;
+    const json::value root = json::parse(text, error);
+    if (error || !root.is_array()) {
+        throw ProtocolError("the audit page is not a JSON array", Remedy);
+    }
+    std::vector<AuditEntry> entries;
+    for (const json::value &item : root.get_array()) {
+        entries.push_back(readAuditEntry(asObject(item, "audit")));
+    }
+    return entries;
+}
+
 std::string serializeConfigRecord(const ConfigRecord &record)
 {
     json::array marks;
@@ -88,20 +122,12 @@
                          {"counter", static_cast<std::int64_t>(mark.counter)},
                          {"leaving", mark.leaving}});
     }
-    json::array audit;
-    for (const AuditEntry &entry : record.audit) {
-        audit.push_back({{"time_ms", entry.timeMs},
-                         {"operator", entry.operatorName},
-                         {"action", entry.action},
-                         {"from", static_cast<std::int64_t>(entry.from.value())},
-                         {"to", static_cast<std::int64_t>(entry.to.value())},
-                         {"write_id", entry.writeId}});
-    }
     const json::object root{{"version", static_cast<std::int64_t>(record.version.value())},
                             {"declaration", record.declarationText},
                             {"write_id", record.writeId},
                             {"leave_marks", std::move(marks)},
-                            {"audit", std::move(audit)}};
+                            {"audit", writeAuditEntries(record.audit)},
+                            {"archived_pages", static_cast<std::int64_t>(record.archivedPages)}};
     return json::serialize(root);
 }
 
@@ -129,6 +155,10 @@
     for (const json::value &item : readArray(object, "audit")) {
         record.audit.push_back(readAuditEntry(asObject(item, "audit")));
     }
+    // Records written before pages existed have no such field.
+    if (object.contains("archived_pages")) {
+        record.archivedPages = static_cast<std::uint64_t>(readNumber(object, "archived_pages"));
+    }
     return record;
 }
 
--- a/src/config/configrecord.h
+++ b/src/config/configrecord.h
@@ -22,7 +22,11 @@
 
 using LeaveMarks = std::map<UpstreamId, LeaveMark>;
 
-/** Adds the marks of @p source that are newer. @return whether anything changed */
+/**
+ * Adds the marks of @p source that are newer. Of two marks with the same counter the one that says
+ * "leaving" wins, so that all agents settle on the same mark whatever the order of arrival.
+ * @return whether anything changed
+ */
 bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source);
 
 /** One line of the audit trail. */
@@ -46,6 +50,7 @@
     std::string writeId; ///< of the write that made this version
     LeaveMarks leaveMarks;
     std::vector<AuditEntry> audit; ///< oldest first
+    std::uint64_t archivedPages = 0; ///< audit pages written; older entries are there
 
     bool operator==(const ConfigRecord &) const = default;
 };
@@ -53,6 +58,12 @@
 /** Key of the configuration record. */
 inline const std::string ConfigKey = "bronzeshed/config";
 
+/** JSON array of audit entries, as a record and an audit page hold them. */
+std::string serializeAuditEntries(const std::vector<AuditEntry> &entries);
+
+/** @throws ProtocolError naming the malformed field */
+std::vector<AuditEntry> parseAuditEntries(const std::string &json);
+
 std::string serializeConfigRecord(const ConfigRecord &record);
 
 /** @throws ProtocolError naming the malformed field */
--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -3,6 +3,8 @@
 #include "base/error.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <initializer_list>
 #include <optional>
 #include <string>
@@ -16,6 +18,8 @@
 constexpr std::int64_t MaxMeasuringBytesPerSecond = 1000000;
 constexpr int DefaultDeadlineFactor = 10;
 constexpr double MaxServerTimeShare = 0.1;
+constexpr double MinTargetShare = 0.5; ///< a lower share is a typing error such as 0.01 for 0.99
+constexpr double MaxTargetShare = 1.0;
 
 [[noreturn]] void reject(const toml::node &node, const std::string &problem,
                          const std::string &remedy)
@@ -62,17 +66,24 @@
     return number;
 }
 
+std::string formatShare(double share)
+{
+    std::array<char, 32> buffer{};
+    const auto result = std::to_chars(buffer.data(), buffer.data() + buffer.size(), share);
+    return {buffer.data(), result.ptr};
+}
+
 std::optional<double> readShare(const toml::table &table, const std::string &where,
-                                std::string_view key, double high)
+                                std::string_view key, double low, double high)
 {
     const toml::node *node = table.get(key);
     if (node == nullptr) {
         return std::nullopt;
     }
     const auto share = node->is_number() ? node->value<double>() : std::nullopt;
-    if (!share || !(*share >= 0.0) || *share > high) {
+    if (!share || !(*share >= low) || *share > high) {
         reject(*node, where + "." + std::string(key) + " is not a share in range",
-               "give a number from 0 to " + std::to_string(high));
+               "give a number from " + formatShare(low) + " to " + formatShare(high));
     }
     return share;
 }
@@ -96,8 +107,9 @@
     }
     const toml::table &table = requireTable(*node, "measuring");
     rejectUnknownKeys(table, "measuring", {"server_time_share", "bytes_per_second"});
-    budget.serverTimeShare = readShare(table, "measuring", "server_time_share", MaxServerTimeShare)
-                                 .value_or(budget.serverTimeShare);
+    budget.serverTimeShare
+        = readShare(table, "measuring", "server_time_share", 0.0, MaxServerTimeShare)
+              .value_or(budget.serverTimeShare);
     const auto bytes
         = readInteger(table, "measuring", "bytes_per_second", 0, MaxMeasuringBytesPerSecond);
     budget.bytesPerSecond = bytes ? static_cast<std::uint64_t>(*bytes) : budget.bytesPerSecond;
@@ -109,9 +121,13 @@
     std::set<ServiceName> services;
     const toml::node *node = root.get("service");
     if (node == nullptr) {
-        throw DeclarationError("there is no service", "add a table such as [service.almanac]");
+        reject(root, "service is missing", "add a table such as [service.almanac]");
     }
-    for (const auto &[key, entry] : requireTable(*node, "service")) {
+    const toml::table &table = requireTable(*node, "service");
+    if (table.empty()) {
+        reject(table, "service has no entry", "add a table such as [service.almanac]");
+    }
+    for (const auto &[key, entry] : table) {
         checkName(entry, "service", key.str());
         const std::string where = "service." + std::string(key.str());
         rejectUnknownKeys(requireTable(entry, where), where, {});
@@ -155,7 +171,8 @@
         reject(table, where + ".answer_within_ms is missing", "state how late an answer may be");
     }
     target.answerWithin = std::chrono::milliseconds(*within);
-    target.share = readShare(table, where, "share", 1.0).value_or(target.share);
+    target.share
+        = readShare(table, where, "share", MinTargetShare, MaxTargetShare).value_or(target.share);
     target.repeatable = readRepeatable(table, where);
     const auto deadline = readInteger(table, where, "deadline_ms", *within, MaxMilliseconds);
     const std::int64_t fallback = std::min(*within * DefaultDeadlineFactor, MaxMilliseconds);
@@ -181,9 +198,13 @@
     declaration.services = parseServices(root);
     const toml::node *classes = root.get("class");
     if (classes == nullptr) {
-        throw DeclarationError("there is no class", "add a table such as [class.schedule-reads]");
+        reject(root, "class is missing", "add a table such as [class.schedule-reads]");
+    }
+    const toml::table &classTable = requireTable(*classes, "class");
+    if (classTable.empty()) {
+        reject(classTable, "class has no entry", "add a table such as [class.schedule-reads]");
     }
-    for (const auto &[key, entry] : requireTable(*classes, "class")) {
+    for (const auto &[key, entry] : classTable) {
         checkName(entry, "class", key.str());
         const std::string name(key.str());
         const toml::table &table = requireTable(entry, "class." + name);
