--- /dev/null
+++ b/tests/agent/configkeeperworld.h
@@ -0,0 +1,258 @@
+#ifndef BRONZESHED_TESTS_AGENT_CONFIGKEEPERWORLD_H
+#define BRONZESHED_TESTS_AGENT_CONFIGKEEPERWORLD_H
+
+#include "agent/configkeeper.h"
+#include "base/error.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace bronzeshed {
+
+/** In-memory store that can be down, lose replies, apply swaps late and come back older. */
+class FaultyStore : public KeyValueStore
+{
+public:
+    enum class Fault { None, LoseReply, LoseRequest, ApplyLate };
+
+    bool down = false;
+    Fault fault = Fault::None; ///< of the next swap of the configuration key
+    bool downAfterSwap = false; ///< goes down after the next swap of the configuration key
+    std::function<void()> beforeSwap; ///< called once before the next swap of that key
+    std::map<std::string, StoredValue> values;
+    std::vector<std::string> history; ///< values that the configuration key has had
+
+    StoredValue get(const std::string &key) override
+    {
+        this->requireUp();
+        return this->values[key];
+    }
+
+    std::optional<StoredValue> watch(const std::string &, std::uint64_t) override { return {}; }
+
+    SwapResult compareAndSwap(const std::string &key, std::uint64_t revision,
+                              const std::string &value) override
+    {
+        if (key != ConfigKey) {
+            return this->down ? SwapResult::Unknown : this->swap(key, revision, value);
+        }
+        if (const auto hook = std::exchange(this->beforeSwap, nullptr)) {
+            hook();
+        }
+        if (this->down) {
+            return SwapResult::Unknown;
+        }
+        this->down = std::exchange(this->downAfterSwap, false);
+        switch (std::exchange(this->fault, Fault::None)) {
+        case Fault::LoseReply:
+            this->swap(key, revision, value);
+            return SwapResult::Unknown;
+        case Fault::LoseRequest:
+            return SwapResult::Unknown;
+        case Fault::ApplyLate:
+            this->late.emplace_back(revision, value);
+            return SwapResult::Unknown;
+        case Fault::None:
+            break;
+        }
+        return this->swap(key, revision, value);
+    }
+
+    void applyLateSwaps()
+    {
+        for (const auto &[revision, value] : std::exchange(this->late, {})) {
+            this->swap(ConfigKey, revision, value);
+        }
+    }
+
+    /** Restores an older value, as a backup would. Revisions go on rising. */
+    void fallBack(std::size_t choice)
+    {
+        if (!this->history.empty()) {
+            const std::string older = this->history[choice % this->history.size()];
+            this->values[ConfigKey] = {++this->lastRevision, older};
+        }
+    }
+
+private:
+    void requireUp() const
+    {
+        if (this->down) {
+            throw UnavailableError("the store is down", "wait");
+        }
+    }
+
+    SwapResult swap(const std::string &key, std::uint64_t revision, const std::string &value)
+    {
+        if (this->values[key].revision != revision) {
+            return SwapResult::Conflict;
+        }
+        this->values[key] = {++this->lastRevision, value};
+        if (key == ConfigKey) {
+            this->history.push_back(value);
+        }
+        return SwapResult::Swapped;
+    }
+
+    std::uint64_t lastRevision = 0;
+    std::vector<std::pair<std::uint64_t, std::string>> late;
+};
+
+/** Agent without threads. All agents of a test see each other's versions. */
+class FakeAgent : public ConfigKeeperPort
+{
+public:
+    explicit FakeAgent(std::vector<std::unique_ptr<FakeAgent>> &fleet)
+        : fleet(fleet)
+    {
+    }
+
+    ConfigRecord newest;
+
+    ConfigRecord record() override { return this->newest; }
+    void adoptRecord(const ConfigRecord &record) override
+    {
+        if (ConfigHistory::isNewer(this->newest.version, record.version)) {
+            const LeaveMarks marks = this->newest.leaveMarks;
+            this->newest = record;
+            mergeLeaveMarks(this->newest.leaveMarks, marks);
+        }
+    }
+    void mergeMarks(const LeaveMarks &marks) override
+    {
+        mergeLeaveMarks(this->newest.leaveMarks, marks);
+    }
+    std::vector<Member> members() override
+    {
+        std::vector<Member> members;
+        for (const auto &agent : this->fleet) {
+            members.emplace_back().configVersion = agent->newest.version;
+        }
+        return members;
+    }
+    std::vector<UpstreamInfo> upstreams() override
+    {
+        std::vector<UpstreamInfo> list(3);
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            list[i].id = UpstreamId("almanac-" + std::to_string(i));
+        }
+        return list;
+    }
+    bool isFirstForConfig() override { return this->fleet.front().get() == this; }
+
+private:
+    std::vector<std::unique_ptr<FakeAgent>> &fleet;
+};
+
+/** Several keepers over one store, and what their operators were told. */
+struct KeeperWorld
+{
+    FaultyStore store;
+    SeededRandom random{7};
+    std::int64_t time = 0;
+    std::vector<std::unique_ptr<FakeAgent>> agents;
+    std::vector<std::unique_ptr<ConfigKeeper>> keepers;
+    std::map<std::string, ConfigVersion> accepted; ///< by write id
+    std::set<std::string> rejected; ///< write ids of conflicts and refusals
+    std::set<std::string> waiting; ///< write ids of marks not yet recorded
+    std::uint64_t lastId = 0;
+
+    explicit KeeperWorld(std::size_t count, std::size_t auditEntries = 0)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            this->agents.push_back(std::make_unique<FakeAgent>(this->agents));
+            this->keepers.push_back(std::make_unique<ConfigKeeper>(
+                *this->agents.back(), this->store, this->random, [this] { return ++this->time; }));
+        }
+        this->seed(auditEntries);
+    }
+
+    static std::string declaration(unsigned target)
+    {
+        return "[service.almanac]\n[class.reads]\nservice = \"almanac\"\nanswer_within_ms = "
+            + std::to_string(target + 1) + "\nrepeatable = true\n";
+    }
+
+    std::string newId() { return "id-" + std::to_string(++this->lastId); }
+
+    ChangeResult apply(std::size_t keeper, ConfigVersion base, unsigned target)
+    {
+        const std::string id = this->newId();
+        return this->note(
+            id,
+            this->keepers[keeper]->apply(this->declaration(target), base, this->name(keeper), id));
+    }
+
+    ChangeResult leave(std::size_t keeper, unsigned upstream, bool leaving)
+    {
+        const std::string id = this->newId();
+        const UpstreamId target("almanac-" + std::to_string(upstream % 3));
+        return this->note(
+            id, this->keepers[keeper]->setLeaving(target, leaving, this->name(keeper), id));
+    }
+
+    static std::string name(std::size_t keeper) { return "operator-" + std::to_string(keeper); }
+
+    /** All audit entries of @p record and of the pages. */
+    std::set<std::string> auditIds(const ConfigRecord &record)
+    {
+        std::set<std::string> ids;
+        for (std::uint64_t page = 0; this->store.values.contains(auditPageKey(page)); ++page) {
+            const std::string &text = this->store.values[auditPageKey(page)].value;
+            for (const AuditEntry &entry :
+                 text.empty() ? std::vector<AuditEntry>() : parseAuditEntries(text)) {
+                ids.insert(entry.writeId);
+            }
+        }
+        for (const AuditEntry &entry : record.audit) {
+            ids.insert(entry.writeId);
+        }
+        return ids;
+    }
+
+    /** Passes the newest record and all marks to every agent. */
+    void gossip()
+    {
+        for (const auto &from : this->agents) {
+            for (const auto &to : this->agents) {
+                to->adoptRecord(from->newest);
+                to->mergeMarks(from->newest.leaveMarks);
+            }
+        }
+    }
+
+private:
+    void seed(std::size_t count)
+    {
+        ConfigRecord record;
+        record.version = ConfigVersion(1);
+        record.declarationText = this->declaration(1);
+        for (std::size_t i = 0; i < count; ++i) {
+            record.audit.push_back({0, "seed", "apply", ConfigVersion(0), ConfigVersion(1),
+                                    "seed-" + std::to_string(i)});
+            this->accepted["seed-" + std::to_string(i)] = ConfigVersion(1);
+        }
+        this->store.compareAndSwap(ConfigKey, 0, serializeConfigRecord(record));
+        for (const auto &agent : this->agents) {
+            agent->adoptRecord(record);
+        }
+    }
+
+    ChangeResult note(const std::string &id, ChangeResult result)
+    {
+        if (const auto *change = std::get_if<ChangeAccepted>(&result)) {
+            this->accepted[id] = change->version;
+        } else if (std::holds_alternative<MarkInForce>(result)) {
+            this->waiting.insert(id);
+        } else if (!std::holds_alternative<ChangeUnknown>(result)) {
+            this->rejected.insert(id);
+        }
+        return result;
+    }
+};
+
+} // namespace bronzeshed
+
+#endif
