--- /dev/null
+++ b/src/ctl/ctlreport.cpp
@@ -0,0 +1,163 @@
+#include "ctl/ctlreport.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <ctime>
+#include <sstream>
+
+namespace bronzeshed {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string textOf(const json::value &object, const char *key)
+{
+    return std::string(object.at(key).as_string());
+}
+
+std::string formatTime(std::int64_t timeMs)
+{
+    const auto seconds = static_cast<std::time_t>(timeMs / 1000);
+    std::tm parts{};
+    ::gmtime_r(&seconds, &parts);
+    std::array<char, 32> buffer{};
+    const std::size_t size
+        = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return {buffer.data(), size};
+}
+
+const char *outcomeName(ChangeReply::Outcome outcome)
+{
+    switch (outcome) {
+    case ChangeReply::Outcome::Accepted:
+        return "accepted";
+    case ChangeReply::Outcome::Conflict:
+        return "conflict";
+    case ChangeReply::Outcome::Failed:
+        return "failed";
+    case ChangeReply::Outcome::Unknown:
+        return "unknown";
+    case ChangeReply::Outcome::InForceNotRecorded:
+        return "in_force_not_recorded";
+    }
+    return "unknown";
+}
+
+std::string replyText(const ChangeReply &reply)
+{
+    switch (reply.outcome) {
+    case ChangeReply::Outcome::Accepted:
+        return "accepted as version " + std::to_string(reply.version);
+    case ChangeReply::Outcome::Conflict:
+        return "conflict: version " + std::to_string(reply.version) + " by '" + reply.operatorName
+            + "' came first; " + reply.message;
+    case ChangeReply::Outcome::Failed:
+        return "failed: " + reply.message;
+    case ChangeReply::Outcome::InForceNotRecorded:
+        return "in force, not yet recorded (write id " + reply.writeId + "): " + reply.message;
+    case ChangeReply::Outcome::Unknown:
+        break;
+    }
+    return "outcome unknown (write id " + reply.writeId + "): " + reply.message;
+}
+
+} // namespace
+
+InForceReport checkInForce(const json::value &status, std::uint64_t version)
+{
+    InForceReport report;
+    for (const json::value &instance : status.at("instances").as_array()) {
+        if (textOf(instance, "state") == "dead") {
+            continue;
+        }
+        ++report.live;
+        if (instance.at("version").as_int64() < static_cast<std::int64_t>(version)) {
+            report.behind.push_back(textOf(instance, "id"));
+        }
+    }
+    return report;
+}
+
+std::string formatInForce(const InForceReport &report, bool complete,
+                          std::chrono::milliseconds elapsed, bool asJson)
+{
+    if (asJson) {
+        json::array behind;
+        for (const std::string &id : report.behind) {
+            behind.emplace_back(id);
+        }
+        return json::serialize(json::value{{"in_force", complete},
+                                           {"live", report.live},
+                                           {"behind", behind},
+                                           {"elapsed_ms", elapsed.count()},
+                                           {"error", report.problem}})
+            + "\n";
+    }
+    const std::string after = " after " + std::to_string(elapsed.count()) + " ms";
+    if (complete) {
+        return "in force at all " + std::to_string(report.live) + " live instances" + after + "\n";
+    }
+    std::string text = "accepted, but not shown to be in force everywhere" + after;
+    for (const std::string &id : report.behind) {
+        text += (&id == &report.behind.front() ? "; behind: " : ", ") + id;
+    }
+    if (report.live == 0) {
+        text += "; no live instance is known";
+    }
+    return text + (report.problem.empty() ? "" : "; " + report.problem)
+        + "; look again with 'status'\n";
+}
+
+std::string formatStatus(const json::value &status)
+{
+    std::ostringstream text;
+    text << "version " << status.at("version").as_int64() << "\n\ninstances\n";
+    for (const json::value &item : status.at("instances").as_array()) {
+        text << "  " << textOf(item, "id") << "  " << textOf(item, "region") << "/"
+             << textOf(item, "zone") << "  " << textOf(item, "state") << "  version "
+             << item.at("version").as_int64() << "\n";
+    }
+    text << "\nupstreams\n";
+    for (const json::value &item : status.at("upstreams").as_array()) {
+        text << "  " << textOf(item, "id") << "  " << textOf(item, "service") << "  "
+             << textOf(item, "region") << "/" << textOf(item, "zone") << "  "
+             << (item.at("leaving").as_bool() ? "leaving" : "in use") << "\n";
+    }
+    text << "\nclasses\n";
+    for (const json::value &item : status.at("classes").as_array()) {
+        text << "  " << textOf(item, "name") << "  " << item.at("share").to_number<double>() * 100
+             << "% within " << item.at("answer_within_ms").as_int64() << " ms\n";
+    }
+    return text.str();
+}
+
+std::string formatHistory(const json::value &history)
+{
+    std::ostringstream text;
+    for (const json::value &item : history.at("entries").as_array()) {
+        text << formatTime(item.at("time_ms").as_int64()) << "  version "
+             << item.at("from").as_int64() << " -> " << item.at("to").as_int64() << "  "
+             << textOf(item, "operator") << "  " << textOf(item, "action") << "  write id "
+             << textOf(item, "write_id") << "\n";
+    }
+    if (const auto pages = history.at("archived_pages").as_int64(); pages > 0) {
+        text << "older entries: GET /v1/history?page=0 to " << pages - 1 << "\n";
+    }
+    return text.str();
+}
+
+std::string formatReply(const ChangeReply &reply, bool asJson)
+{
+    if (!asJson) {
+        return replyText(reply) + "\n";
+    }
+    return json::serialize(json::value{{"outcome", outcomeName(reply.outcome)},
+                                       {"version", reply.version},
+                                       {"operator", reply.operatorName},
+                                       {"error", reply.message},
+                                       {"write_id", reply.writeId}})
+        + "\n";
+}
+
+} // namespace bronzeshed
