--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -1,5 +1,7 @@
 #include "agent/agentstate.h"
 
+#include "membership/domainorder.h"
+
 namespace bronzeshed {
 
 AgentState::AgentState(InstanceId id, RegionName region, ZoneName zone, Endpoint agentEndpoint)
@@ -17,7 +19,7 @@
     state.sequence = this->sequence;
     state.configVersion = this->newest.version;
     state.declarationText = this->newest.declarationText;
-    state.upstreams = this->upstreams;
+    state.upstreams = this->listed;
     for (UpstreamInfo &upstream : state.upstreams) {
         const auto mark = this->newest.leaveMarks.find(upstream.id);
         const bool marked = mark != this->newest.leaveMarks.end() && mark->second.leaving;
@@ -75,8 +77,8 @@
 void AgentState::adoptInstances(const InstanceSnapshot &snapshot)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->upstreams != snapshot.upstreams) {
-        this->upstreams = snapshot.upstreams;
+    if (this->listed != snapshot.upstreams) {
+        this->listed = snapshot.upstreams;
         ++this->sequence;
     }
 }
@@ -93,4 +95,22 @@
     return this->newest;
 }
 
+std::vector<Member> AgentState::members()
+{
+    return this->currentState().members;
+}
+
+std::vector<UpstreamInfo> AgentState::upstreams()
+{
+    return this->currentState().upstreams;
+}
+
+bool AgentState::isFirstForConfig()
+{
+    std::vector<Member> live = this->members();
+    std::erase_if(live, [](const Member &member) { return member.state != MemberState::Alive; });
+    const std::vector<Member> order = rendezvousOrder(ConfigKey, std::move(live));
+    return !order.empty() && order.front().id == this->self.id;
+}
+
 } // namespace bronzeshed
--- a/src/agent/agentstate.h
+++ b/src/agent/agentstate.h
@@ -27,6 +27,11 @@
     void adoptInstances(const InstanceSnapshot &snapshot);
     /** Another process confirmed the state just now. */
     void confirm(TimePoint now);
+    std::vector<Member> members();
+    /** Upstreams of the instance list, with the leave marks applied. */
+    std::vector<UpstreamInfo> upstreams();
+    /** Whether this agent is first in rendezvous order on the key name among all live members. */
+    bool isFirstForConfig();
     /** The newest record. */
     ConfigRecord record();
 
@@ -35,7 +40,7 @@
     Member self;
     bool entryKnown = false;
     ConfigRecord newest;
-    std::vector<UpstreamInfo> upstreams;
+    std::vector<UpstreamInfo> listed;
     std::uint64_t sequence = 1;
     TimePoint confirmedAt;
 };
--- a/src/agent/configkeeperadapter.cpp
+++ b/src/agent/configkeeperadapter.cpp
@@ -1,12 +1,9 @@
 #include "agent/configkeeperadapter.h"
 
-#include "membership/domainorder.h"
-
 namespace bronzeshed {
 
-ConfigKeeperAdapter::ConfigKeeperAdapter(AgentState &state, InstanceId self)
+ConfigKeeperAdapter::ConfigKeeperAdapter(AgentState &state)
     : state(state)
-    , self(std::move(self))
 {
 }
 
@@ -27,20 +24,17 @@
 
 std::vector<Member> ConfigKeeperAdapter::members()
 {
-    return this->state.currentState().members;
+    return this->state.members();
 }
 
 std::vector<UpstreamInfo> ConfigKeeperAdapter::upstreams()
 {
-    return this->state.currentState().upstreams;
+    return this->state.upstreams();
 }
 
 bool ConfigKeeperAdapter::isFirstForConfig()
 {
-    std::vector<Member> live = this->members();
-    std::erase_if(live, [](const Member &member) { return member.state != MemberState::Alive; });
-    const std::vector<Member> order = rendezvousOrder(ConfigKey, std::move(live));
-    return !order.empty() && order.front().id == this->self;
+    return this->state.isFirstForConfig();
 }
 
 } // namespace bronzeshed
--- a/src/agent/configkeeperadapter.h
+++ b/src/agent/configkeeperadapter.h
@@ -10,7 +10,7 @@
 class ConfigKeeperAdapter : public ConfigKeeperPort
 {
 public:
-    ConfigKeeperAdapter(AgentState &state, InstanceId self);
+    explicit ConfigKeeperAdapter(AgentState &state);
 
     ConfigRecord record() override;
     void adoptRecord(const ConfigRecord &record) override;
@@ -21,7 +21,6 @@
 
 private:
     AgentState &state;
-    InstanceId self;
 };
 
 } // namespace bronzeshed
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -62,10 +62,11 @@
     HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
     AgentServer server(listen, state);
 
-    ConfigKeeperAdapter adapter(state, InstanceId(settings.text("instance")));
+    ConfigKeeperAdapter adapter(state);
+    HttpKeyValueStore operatorStore(settings.endpoint("store"), PlatformTimeout);
     SeededRandom writeIds = makeSystemRandom();
-    ConfigKeeper keeper(adapter, store, writeIds, wallClockMs);
-    OperatorApi operatorApi(adapter, store, keeper, settings.text("operator-token"));
+    ConfigKeeper keeper(adapter, operatorStore, writeIds, wallClockMs);
+    OperatorApi operatorApi(adapter, operatorStore, keeper, settings.text("operator-token"));
     HttpServer operatorServer(settings.endpoint("operator-listen"), HttpLimits{}, operatorApi);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
     std::cout << "operator-listening " << operatorServer.localEndpoint().toString() << std::endl;
--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/operatorreplies.h"
 #include "base/error.h"
+#include "base/logline.h"
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -173,8 +174,13 @@
         return;
     }
     this->runBlocking(exchange, [this, isApply, request = std::move(request)] {
-        return changeResponse(isApply ? this->applyDeclaration(request)
-                                      : this->markUpstream(request));
+        HttpResponse response = changeResponse(isApply ? this->applyDeclaration(request)
+                                                       : this->markUpstream(request));
+        LogLine("operator_change")
+            .add("operator", header(request, "Operator"))
+            .add("target", request.target)
+            .add("status", response.status);
+        return response;
     });
 }
 
--- /dev/null
+++ b/tests/agent/configkeepertest.cpp
@@ -0,0 +1,120 @@
+#include "configkeeperworld.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+
+namespace {
+
+const ConfigVersion First(1);
+
+template<typename Expected>
+Expected expectResult(const ChangeResult &result)
+{
+    BOOST_REQUIRE(std::holds_alternative<Expected>(result));
+    return std::get<Expected>(result);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(config_keeper)
+
+// Guards against a change that is told as failed, or made twice, because its reply was lost.
+BOOST_AUTO_TEST_CASE(lost_reply_is_settled_by_reading_back)
+{
+    KeeperWorld world(2);
+    world.store.fault = FaultyStore::Fault::LoseReply;
+    BOOST_TEST(expectResult<ChangeAccepted>(world.apply(0, First, 5)).version.value() == 2U);
+    BOOST_TEST(world.agents[0]->newest.audit.size() == 1U);
+    world.store.fault = FaultyStore::Fault::LoseRequest;
+    BOOST_TEST(expectResult<ChangeAccepted>(world.apply(0, ConfigVersion(2), 6)).version.value()
+               == 3U);
+    BOOST_TEST(world.agents[0]->newest.audit.size() == 2U);
+}
+
+// Guards against a swap that arrives late and takes effect beside its repetition.
+BOOST_AUTO_TEST_CASE(late_swap_takes_effect_once)
+{
+    KeeperWorld world(1);
+    world.store.fault = FaultyStore::Fault::ApplyLate;
+    expectResult<ChangeAccepted>(world.apply(0, First, 5));
+    const std::uint64_t revision = world.store.get(ConfigKey).revision;
+    world.store.applyLateSwaps();
+    BOOST_TEST(world.store.get(ConfigKey).revision == revision);
+}
+
+// Guards against claiming an outcome that the store did not confirm.
+BOOST_AUTO_TEST_CASE(unreadable_outcome_is_unknown_with_its_write_id)
+{
+    KeeperWorld world(1);
+    world.store.fault = FaultyStore::Fault::LoseReply;
+    world.store.downAfterSwap = true;
+    const ChangeResult result
+        = world.keepers[0]->apply(KeeperWorld::declaration(5), First, "anna", "my-id");
+    BOOST_TEST(expectResult<ChangeUnknown>(result).writeId == "my-id");
+    world.store.down = false;
+    // The same request again finds its own entry and makes no second change.
+    const ChangeResult again
+        = world.keepers[0]->apply(KeeperWorld::declaration(5), First, "anna", "my-id");
+    BOOST_TEST(expectResult<ChangeAccepted>(again).version.value() == 2U);
+}
+
+// Guards against refusals that leave traces, and against outages told as conflicts.
+BOOST_AUTO_TEST_CASE(outage_and_bad_input_change_nothing)
+{
+    KeeperWorld world(1);
+    const std::uint64_t revision = world.store.get(ConfigKey).revision;
+    expectResult<ChangeRefused>(world.keepers[0]->apply("x = 1", First, "anna"));
+    expectResult<ChangeRefused>(world.keepers[0]->apply(KeeperWorld::declaration(1), First, ""));
+    expectResult<ChangeRefused>(world.keepers[0]->setLeaving(UpstreamId("nobody"), true, "anna"));
+    const ChangeConflict conflict
+        = expectResult<ChangeConflict>(world.apply(0, ConfigVersion(9), 1));
+    BOOST_TEST(conflict.version.value() == 1U);
+    world.store.down = true;
+    expectResult<StoreUnavailable>(world.apply(0, First, 5));
+    world.store.down = false;
+    BOOST_TEST(world.store.get(ConfigKey).revision == revision);
+}
+
+// Guards against building on a record that lacks what other instances have accepted.
+BOOST_AUTO_TEST_CASE(agent_behind_the_fleet_accepts_nothing)
+{
+    KeeperWorld world(2);
+    expectResult<ChangeAccepted>(world.apply(1, First, 5));
+    world.store.fallBack(0);
+    const auto failure = expectResult<StoreUnavailable>(world.apply(0, First, 6));
+    BOOST_TEST(failure.error.find("version 2") != std::string::npos);
+    BOOST_TEST(!world.keepers[0]->restoreIfLower());
+    world.gossip();
+    BOOST_TEST(!world.keepers[1]->restoreIfLower()); // not the first agent
+    BOOST_TEST(world.keepers[0]->restoreIfLower());
+    BOOST_TEST(parseConfigRecord(world.store.get(ConfigKey).value).version.value() == 2U);
+}
+
+// Guards against leave marks that wait for the store before they take effect, or are forgotten.
+BOOST_AUTO_TEST_CASE(leave_mark_is_in_force_before_it_is_recorded)
+{
+    KeeperWorld world(1);
+    world.store.down = true;
+    expectResult<MarkInForce>(world.leave(0, 1, true));
+    BOOST_TEST(world.agents[0]->newest.leaveMarks.at(UpstreamId("almanac-1")).leaving);
+    BOOST_TEST(world.keepers[0]->recordPending() == 1U);
+    world.store.down = false;
+    BOOST_TEST(world.keepers[0]->recordPending() == 0U);
+    const ConfigRecord stored = parseConfigRecord(world.store.get(ConfigKey).value);
+    BOOST_TEST(stored.leaveMarks.at(UpstreamId("almanac-1")).leaving);
+    BOOST_TEST(stored.audit.back().action == "leave almanac-1");
+}
+
+// Guards against entries trimmed from the record although their page was not written.
+BOOST_AUTO_TEST_CASE(page_is_written_before_entries_are_trimmed)
+{
+    KeeperWorld world(1, ConfigHistory::MaxAuditEntries);
+    world.store.values[auditPageKey(0)] = {1, "[]"}; // a page that the record does not count
+    expectResult<ChangeAccepted>(world.apply(0, First, 5));
+    BOOST_TEST(world.agents[0]->newest.audit.size() == 501U);
+    BOOST_TEST(parseAuditEntries(world.store.get(auditPageKey(1)).value).size() == 500U);
+    BOOST_TEST(world.agents[0]->newest.archivedPages == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/agent/operatorapitest.cpp
@@ -0,0 +1,143 @@
+#include "agent/operatorapi.h"
+#include "configkeeperworld.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace bronzeshed;
+
+namespace {
+
+/** Hands the response to the waiting test. */
+class WaitingExchange : public HttpExchange
+{
+public:
+    void respond(HttpResponse response) override { this->promise.set_value(std::move(response)); }
+    void onClientGone(std::function<void()> /*callback*/) override { }
+
+    std::promise<HttpResponse> promise;
+};
+
+/** Operator API of one agent over the in-memory store. */
+struct Api
+{
+    explicit Api(const std::string &token = "secret")
+        : api(*world.agents[0], world.store, *world.keepers[0], token)
+    {
+    }
+    ~Api() { this->api.stop(); }
+
+    KeeperWorld world{1};
+    OperatorApi api;
+
+    HttpResponse send(const std::string &method, const std::string &target,
+                      const HttpHeaders &headers, const std::string &body = {})
+    {
+        auto exchange = std::make_shared<WaitingExchange>();
+        auto response = exchange->promise.get_future();
+        this->api.handleRequest({method, target, headers, body}, exchange);
+        BOOST_REQUIRE(response.wait_for(std::chrono::seconds(30)) == std::future_status::ready);
+        return response.get();
+    }
+};
+
+HttpHeaders headersWith(const std::string &token, const std::string &base = "1")
+{
+    HttpHeaders headers;
+    headers.add("Authorization", "Bearer " + token);
+    headers.add("Operator", "anna");
+    headers.add("Base-Version", base);
+    return headers;
+}
+
+std::string field(const HttpResponse &response, const char *key)
+{
+    return boost::json::serialize(boost::json::parse(response.body).at(key));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(operator_api)
+
+// Guards against changes by strangers.
+BOOST_AUTO_TEST_CASE(token_is_required_in_full)
+{
+    Api api;
+    const std::string text = KeeperWorld::declaration(5);
+    for (const char *token : {"", "s", "secre", "secret2", "SECRET", "secretsecret"}) {
+        BOOST_TEST(api.send("GET", "/v1/status", headersWith(token)).status == 401U);
+        BOOST_TEST(api.send("PUT", "/v1/declaration", headersWith(token), text).status == 401U);
+    }
+    BOOST_TEST(api.send("GET", "/v1/status", headersWith("secret")).status == 200U);
+    BOOST_TEST(!equalsInConstantTime("secret", ""));
+    BOOST_TEST(!isLoopback({"10.0.0.1", 80}));
+    BOOST_TEST(isLoopback({"127.0.0.1", 80}));
+}
+
+// Guards against an agent without a token that accepts changes.
+BOOST_AUTO_TEST_CASE(without_token_only_reads_are_allowed)
+{
+    Api api("");
+    BOOST_TEST(api.send("GET", "/v1/declaration", {}).status == 200U);
+    BOOST_TEST(api.send("GET", "/v1/history", {}).status == 200U);
+    BOOST_TEST(api.send("PUT", "/v1/declaration", headersWith(""), "").status == 403U);
+    BOOST_TEST(api.send("POST", "/v1/leave?upstream=almanac-0", headersWith("")).status == 403U);
+    BOOST_TEST(api.world.agents[0]->newest.version.value() == 1U);
+}
+
+// Guards against outcomes that a client cannot tell apart, and errors without remedy.
+BOOST_AUTO_TEST_CASE(each_outcome_has_its_status)
+{
+    Api api;
+    const HttpHeaders headers = headersWith("secret");
+    const std::string text = KeeperWorld::declaration(5);
+    BOOST_TEST(api.send("PUT", "/v1/declaration", headers, text).status == 200U);
+    const HttpResponse conflict = api.send("PUT", "/v1/declaration", headers, text);
+    BOOST_TEST(conflict.status == 409U);
+    BOOST_TEST(field(conflict, "operator") == "\"anna\"");
+    BOOST_TEST(api.send("PUT", "/v1/declaration", headersWith("secret", "2"), "x").status == 422U);
+    BOOST_TEST(api.send("PUT", "/v1/declaration", headersWith("secret", "-"), text).status == 400U);
+    BOOST_TEST(api.send("DELETE", "/v1/declaration", headers).status == 405U);
+    BOOST_TEST(api.send("GET", "/v1/history?page=0", headers).status == 404U);
+    HttpHeaders anonymous = headers;
+    anonymous.remove("Operator");
+    const HttpResponse nameless = api.send("POST", "/v1/leave?upstream=almanac-0", anonymous);
+    BOOST_TEST(nameless.status == 400U);
+    BOOST_TEST(field(nameless, "error").find("; ") != std::string::npos);
+}
+
+// Guards against a status that hides what an operator must see.
+BOOST_AUTO_TEST_CASE(status_shows_versions_marks_and_targets)
+{
+    Api api;
+    const HttpHeaders headers = headersWith("secret");
+    BOOST_TEST(api.send("POST", "/v1/leave?upstream=almanac-1", headers).status == 200U);
+    const HttpResponse status = api.send("GET", "/v1/status", headers);
+    const auto root = boost::json::parse(status.body);
+    BOOST_TEST(root.at("instances").at(0).at("version").as_int64() == 2);
+    BOOST_TEST(root.at("upstreams").at(1).at("leaving").as_bool());
+    BOOST_TEST(!root.at("upstreams").at(0).at("leaving").as_bool());
+    BOOST_TEST(root.at("classes").at(0).at("answer_within_ms").as_int64() == 2);
+    BOOST_TEST(field(api.send("GET", "/v1/history", headers), "entries").find("leave almanac-1")
+               != std::string::npos);
+    BOOST_TEST(api.send("POST", "/v1/return?upstream=almanac-1", headers).status == 200U);
+    BOOST_TEST(!api.world.agents[0]->newest.leaveMarks.at(UpstreamId("almanac-1")).leaving);
+}
+
+// Guards against a slow store that holds up the server's thread.
+BOOST_AUTO_TEST_CASE(changes_run_on_a_thread_of_their_own)
+{
+    Api api;
+    std::promise<void> release;
+    api.world.store.beforeSwap = [&release] { release.get_future().wait(); };
+    auto exchange = std::make_shared<WaitingExchange>();
+    auto response = exchange->promise.get_future();
+    api.api.handleRequest(
+        {"PUT", "/v1/declaration", headersWith("secret"), KeeperWorld::declaration(5)}, exchange);
+    BOOST_TEST(api.send("GET", "/v1/declaration", headersWith("secret")).status == 200U);
+    release.set_value();
+    BOOST_TEST(response.get().status == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/ctl/ctltest.cpp
@@ -0,0 +1,216 @@
+#include "base/error.h"
+#include "ctl/ctlcommands.h"
+#include "http/httpclient.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <fstream>
+#include <sstream>
+
+using namespace bronzeshed;
+
+namespace {
+
+const Endpoint FirstAgent{"127.0.0.1", 1};
+const Endpoint SecondAgent{"127.0.0.1", 2};
+const std::string Example = "examples/tidemark.toml";
+const std::string Declaration4 = R"({"version":4,"declaration":""})";
+
+/** Answers requests from a script and keeps them. */
+class ScriptedSender : public RequestSender
+{
+public:
+    struct Step
+    {
+        unsigned status = 200; ///< 0: not sent; 1: no response after sending
+        std::string body;
+    };
+
+    std::deque<Step> steps;
+    std::vector<std::pair<Endpoint, HttpRequest>> sent;
+
+    HttpResponse send(const Endpoint &endpoint, const HttpRequest &request,
+                      std::chrono::milliseconds /*timeout*/) override
+    {
+        this->sent.emplace_back(endpoint, request);
+        BOOST_REQUIRE(!this->steps.empty());
+        Step step = this->steps.front();
+        this->steps.pop_front();
+        if (step.status <= 1) {
+            throw HttpClientError("no answer", step.status == 1);
+        }
+        // The write id is made by the command, so the script cannot hold it.
+        const std::string id = this->sent.front().second.headers.find("Write-Id").value_or("");
+        if (const auto place = step.body.find("$ID"); place != std::string::npos) {
+            step.body.replace(place, 3, id);
+        }
+        return makeJsonResponse(step.status, step.body);
+    }
+};
+
+/** One run of a command with two agents. */
+struct Run
+{
+    ScriptedSender sender;
+    CtlOptions options;
+    std::ostringstream output;
+
+    Run(const std::string &command, const std::string &argument,
+        std::deque<ScriptedSender::Step> steps)
+    {
+        this->sender.steps = std::move(steps);
+        this->options.command = command;
+        this->options.argument = argument;
+        this->options.agents = {FirstAgent, SecondAgent};
+        this->options.operatorName = "anna";
+        this->options.token = "secret";
+        this->options.baseVersion = 4;
+    }
+
+    CtlExit run()
+    {
+        AgentClient client(this->options.agents, this->options.token, this->sender);
+        ManualClock clock;
+        SeededRandom random(1);
+        const auto sleep = [&clock](std::chrono::milliseconds time) { clock.advance(time); };
+        return CtlCommands(this->options, client, clock, sleep, random, this->output).run();
+    }
+
+    bool printed(const std::string &text) const
+    {
+        return this->output.str().find(text) != std::string::npos;
+    }
+};
+
+CtlOptions readOptions(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), "bronzeshedctl");
+    std::vector<char *> pointers;
+    for (std::string &argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    pointers.push_back(nullptr);
+    Settings settings = makeCtlSettings();
+    settings.parse(static_cast<int>(arguments.size()), pointers.data());
+    return readCtlOptions(settings);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ctl)
+
+// Guards against commands that run with half of what they need.
+BOOST_AUTO_TEST_CASE(bad_usage_is_refused)
+{
+    using Arguments = std::vector<std::string>;
+    for (const Arguments &arguments : {Arguments{},
+                                       {"aply", "f"},
+                                       {"apply"},
+                                       {"status", "x"},
+                                       {"status"},
+                                       {"apply", "f", "--agent", "127.0.0.1:1"},
+                                       {"status", "--agent", "localhost:1"},
+                                       {"validate", "f", "--format", "xml"},
+                                       {"validate", "f", "--wait-ms", "-1"}}) {
+        BOOST_CHECK_THROW(readOptions(arguments), SettingsError);
+    }
+    const CtlOptions options
+        = readOptions({"apply", "f", "--agent", "127.0.0.1:1,127.0.0.1:2", "--operator", "anna"});
+    BOOST_TEST((options.agents == std::vector<Endpoint>{FirstAgent, SecondAgent}));
+}
+
+// Guards against exit codes that scripts read as another outcome.
+BOOST_AUTO_TEST_CASE(each_outcome_has_its_exit_code)
+{
+    struct Case
+    {
+        unsigned status;
+        std::string body;
+        CtlExit code;
+    };
+    const std::vector<Case> cases{
+        {200, R"({"outcome":"accepted","version":5})", CtlExit::Done},
+        {409, R"({"outcome":"conflict","operator":"ben","version":6})", CtlExit::Conflict},
+        {422, R"({"outcome":"refused","error":"x; y"})", CtlExit::Failed},
+        {503, R"({"outcome":"store_unavailable","error":"x; y"})", CtlExit::Failed},
+        {504, R"({"outcome":"unknown","error":"x; y"})", CtlExit::Unknown},
+        {202, R"({"outcome":"in_force_not_recorded"})", CtlExit::Unknown},
+        {200, "garbage", CtlExit::Unknown},
+        {200, R"({"outcome":"new-word"})", CtlExit::Unknown},
+    };
+    for (const Case &item : cases) {
+        Run run("apply", Example, {{item.status, item.body}});
+        BOOST_TEST_CONTEXT(item.body)
+        {
+            BOOST_TEST((run.run() == item.code));
+            BOOST_TEST(run.printed("accepted as") == (item.code == CtlExit::Done));
+        }
+    }
+}
+
+// Guards against sending a change twice, and against claiming success after a lost reply.
+BOOST_AUTO_TEST_CASE(change_goes_to_the_next_agent_only_if_it_was_not_sent)
+{
+    Run next("leave", "almanac 1", {{0, ""}, {200, R"({"outcome":"accepted","version":5})"}});
+    BOOST_TEST((next.run() == CtlExit::Done));
+    BOOST_TEST((next.sender.sent[1].first == SecondAgent));
+    BOOST_TEST(next.sender.sent[1].second.target == "/v1/leave?upstream=almanac%201");
+    BOOST_TEST(*next.sender.sent[1].second.headers.find("Authorization") == "Bearer secret");
+
+    Run unreachable("leave", "a", {{0, ""}, {0, ""}});
+    BOOST_TEST((unreachable.run() == CtlExit::Failed));
+
+    const std::string other = R"({"version":5,"archived_pages":0,"entries":[]})";
+    Run lost("apply", Example, {{1, ""}, {0, ""}, {200, other}});
+    BOOST_TEST((lost.run() == CtlExit::Unknown));
+    for (std::size_t i = 1; i < lost.sender.sent.size(); ++i) {
+        BOOST_TEST(lost.sender.sent[i].second.method == "GET");
+    }
+
+    const std::string found = R"({"version":5,"entries":[{"write_id":"$ID","to":5}]})";
+    Run settled("apply", Example, {{1, ""}, {200, found}});
+    BOOST_TEST((settled.run() == CtlExit::Done));
+    BOOST_TEST(settled.printed("accepted as version 5"));
+}
+
+// Guards against reporting a version as in force while a live instance has an older one.
+BOOST_AUTO_TEST_CASE(apply_waits_for_every_live_instance)
+{
+    const std::string accepted = R"({"outcome":"accepted","version":5})";
+    const auto status = [](int first) {
+        return R"({"instances":[{"id":"i1","state":"alive","version":)" + std::to_string(first)
+            + R"(},{"id":"i2","state":"leaving","version":5},)"
+            + R"({"id":"i3","state":"dead","version":1}]})";
+    };
+    Run run("apply", Example, {{200, accepted}, {200, status(4)}, {200, status(5)}});
+    run.options.wait = std::chrono::milliseconds(1000);
+    BOOST_TEST((run.run() == CtlExit::Done));
+    BOOST_TEST(run.printed("in force at all 2 live instances after 100 ms"));
+
+    Run late("apply", Example, {{200, accepted}, {200, status(4)}, {200, status(4)}});
+    late.options.wait = std::chrono::milliseconds(100);
+    BOOST_TEST((late.run() == CtlExit::Failed));
+    BOOST_TEST(late.printed("behind: i1;"));
+
+    Run empty("apply", Example, {{200, accepted}, {200, R"({"instances":[]})"}});
+    empty.options.wait = std::chrono::milliseconds(1);
+    empty.sender.steps.push_back({200, R"({"instances":[]})"});
+    BOOST_TEST((empty.run() == CtlExit::Failed));
+}
+
+// Guards against a diff against nothing, and a base version that is not the one compared with.
+BOOST_AUTO_TEST_CASE(apply_uses_the_newest_version_as_base)
+{
+    Run diff("diff", Example, {{200, Declaration4}});
+    BOOST_TEST((diff.run() == CtlExit::Done));
+    BOOST_TEST(diff.printed("compared with version 4: 6 changes"));
+    Run apply("apply", Example,
+              {{200, Declaration4}, {200, R"({"outcome":"accepted","version":5})"}});
+    apply.options.baseVersion.reset();
+    BOOST_TEST((apply.run() == CtlExit::Done));
+    BOOST_TEST(*apply.sender.sent[1].second.headers.find("Base-Version") == "4");
+    Run missing("validate", "no-such-file", {});
+    BOOST_CHECK_THROW(missing.run(), Error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
