--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -96,7 +96,7 @@
         return ChangeRefused{error.what()};
     }
     this->agent.mergeMarks(next.marks);
-    const ChangeResult result = this->record(next);
+    ChangeResult result = this->record(next);
     if (std::holds_alternative<ChangeAccepted>(result)) {
         return result;
     }
--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -148,15 +148,19 @@
 
 HttpResponse OperatorApi::readPage(std::uint64_t page)
 {
-    const StoredValue stored = this->store.get(auditPageKey(page));
-    if (stored.revision == 0) {
-        return failureResponse(404, "there is no audit page " + std::to_string(page),
-                               "give a number below archived_pages");
+    try {
+        const StoredValue stored = this->store.get(auditPageKey(page));
+        if (stored.revision == 0) {
+            return failureResponse(404, "there is no audit page " + std::to_string(page),
+                                   "give a number below archived_pages");
+        }
+        ConfigRecord record;
+        record.audit = parseAuditEntries(stored.value);
+        record.archivedPages = page + 1;
+        return historyResponse(record);
+    } catch (const Error &error) {
+        return failureResponse(503, error.what(), "repeat in a few seconds");
     }
-    ConfigRecord record;
-    record.audit = parseAuditEntries(stored.value);
-    record.archivedPages = page + 1;
-    return historyResponse(record);
 }
 
 void OperatorApi::handleChange(HttpRequest request, const Exchange &exchange)
@@ -203,8 +207,9 @@
     const bool accepted = this->worker.tryRun([exchange, work = std::move(work)] {
         try {
             exchange->respond(work());
-        } catch (const Error &error) {
-            exchange->respond(failureResponse(503, error.what(), "repeat in a few seconds"));
+        } catch (const std::exception &error) {
+            LogLine("operator_job_failed", LogLevel::Error).add("error", error.what());
+            exchange->respond(changeResponse(ChangeUnknown{}));
         }
     });
     if (!accepted) {
--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -86,6 +86,7 @@
 {
     arguments.insert(arguments.begin(), "bronzeshedctl");
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (std::string &argument : arguments) {
         pointers.push_back(argument.data());
     }
