--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,6 +1,5 @@
 #include "agent/agentstate.h"
-#include "agent/configkeeperadapter.h"
-#include "agent/operatorapi.h"
+#include "agent/operatorservice.h"
 #include "base/error.h"
 #include "base/logline.h"
 #include "base/program.h"
@@ -22,17 +21,7 @@
     settings.endpoint("listen");
     settings.endpoint("store");
     settings.endpoint("instance-list");
-    const bool hasToken = !settings.text("operator-token").empty();
-    if (!hasToken && !isLoopback(settings.endpoint("operator-listen"))) {
-        throw SettingsError("flag --operator-listen opens the operator API to other machines",
-                            "set BRONZESHED_OPERATOR_TOKEN or listen on 127.0.0.1");
-    }
-}
-
-std::int64_t wallClockMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    OperatorService::checkSettings(settings);
 }
 
 void poll(AgentState &state, KeyValueStore &store, InstanceList &list, std::uint64_t &revision)
@@ -61,21 +50,14 @@
     HttpKeyValueStore store(settings.endpoint("store"), PlatformTimeout);
     HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
     AgentServer server(listen, state);
-
-    ConfigKeeperAdapter adapter(state);
-    HttpKeyValueStore operatorStore(settings.endpoint("store"), PlatformTimeout);
-    SeededRandom writeIds = makeSystemRandom();
-    ConfigKeeper keeper(adapter, operatorStore, writeIds, wallClockMs);
-    OperatorApi operatorApi(adapter, operatorStore, keeper, settings.text("operator-token"));
-    HttpServer operatorServer(settings.endpoint("operator-listen"), HttpLimits{}, operatorApi);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
-    std::cout << "operator-listening " << operatorServer.localEndpoint().toString() << std::endl;
+    OperatorService operators(state, settings, PlatformTimeout);
+    std::cout << "operator-listening " << operators.localEndpoint().toString() << std::endl;
     std::uint64_t revision = 0;
     do {
         poll(state, store, list, revision);
     } while (signals.wait(PollPeriod) == StopRequest::None);
-    operatorServer.stop();
-    operatorApi.stop();
+    operators.stop();
     server.stop();
     return 0;
 }
@@ -87,16 +69,17 @@
 int main(int argc, char **argv)
 {
     using namespace bronzeshed;
-    const std::vector<SettingSpec> specs{
+    std::vector<SettingSpec> specs{
         {"instance", "", "id of this instance", true},
         {"region", "", "region of this instance", true},
         {"zone", "", "availability zone of this instance", true},
         {"listen", "", "address for RPC from the entry and from other agents", true},
         {"store", "", "address of the platform's key-value service", true},
         {"instance-list", "", "address of the platform's instance list", true},
-        {"operator-listen", "127.0.0.1:0", "address of the operator API"},
-        {"operator-token", "", "bearer token for the operator API; set it by the environment only"},
     };
+    for (const SettingSpec &spec : OperatorService::settingSpecs()) {
+        specs.push_back(spec);
+    }
     Settings settings("bronzeshed-agent", "Keeps the control state of one entry instance.", specs);
     return runProgram(argc, argv, settings, checkSettings, runAgent);
 }
--- /dev/null
+++ b/src/agent/operatorservice.cpp
@@ -0,0 +1,51 @@
+#include "agent/operatorservice.h"
+
+#include "base/error.h"
+
+namespace bronzeshed {
+
+namespace {
+
+std::int64_t wallClockMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+OperatorService::OperatorService(AgentState &state, const Settings &settings,
+                                 std::chrono::milliseconds timeout)
+    : adapter(state)
+    , store(settings.endpoint("store"), timeout)
+    , writeIds(makeSystemRandom())
+    , keeper(adapter, store, writeIds, wallClockMs)
+    , api(adapter, store, keeper, settings.text("operator-token"))
+    , server(settings.endpoint("operator-listen"), HttpLimits{}, api)
+{
+}
+
+std::vector<SettingSpec> OperatorService::settingSpecs()
+{
+    return {
+        {"operator-listen", "127.0.0.1:0", "address of the operator API"},
+        {"operator-token", "", "bearer token for the operator API; set it by the environment only"},
+    };
+}
+
+void OperatorService::checkSettings(const Settings &settings)
+{
+    const bool hasToken = !settings.text("operator-token").empty();
+    if (!hasToken && !isLoopback(settings.endpoint("operator-listen"))) {
+        throw SettingsError("flag --operator-listen opens the operator API to other machines",
+                            "set BRONZESHED_OPERATOR_TOKEN or listen on 127.0.0.1");
+    }
+}
+
+void OperatorService::stop()
+{
+    this->server.stop();
+    this->api.stop();
+}
+
+} // namespace bronzeshed
