--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,4 +1,5 @@
 #include "agent/agentstate.h"
+#include "agent/operatorservice.h"
 #include "base/error.h"
 #include "base/logline.h"
 #include "base/program.h"
@@ -20,6 +21,7 @@
     settings.endpoint("listen");
     settings.endpoint("store");
     settings.endpoint("instance-list");
+    OperatorService::checkSettings(settings);
 }
 
 void poll(AgentState &state, KeyValueStore &store, InstanceList &list, std::uint64_t &revision)
@@ -49,10 +51,13 @@
     HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
     AgentServer server(listen, state);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
+    OperatorService operators(state, settings, PlatformTimeout);
+    std::cout << "operator-listening " << operators.localEndpoint().toString() << std::endl;
     std::uint64_t revision = 0;
     do {
         poll(state, store, list, revision);
     } while (signals.wait(PollPeriod) == StopRequest::None);
+    operators.stop();
     server.stop();
     return 0;
 }
@@ -64,7 +69,7 @@
 int main(int argc, char **argv)
 {
     using namespace bronzeshed;
-    const std::vector<SettingSpec> specs{
+    std::vector<SettingSpec> specs{
         {"instance", "", "id of this instance", true},
         {"region", "", "region of this instance", true},
         {"zone", "", "availability zone of this instance", true},
@@ -72,6 +77,9 @@
         {"store", "", "address of the platform's key-value service", true},
         {"instance-list", "", "address of the platform's instance list", true},
     };
+    for (const SettingSpec &spec : OperatorService::settingSpecs()) {
+        specs.push_back(spec);
+    }
     Settings settings("bronzeshed-agent", "Keeps the control state of one entry instance.", specs);
     return runProgram(argc, argv, settings, checkSettings, runAgent);
 }
