--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -1,13 +1,42 @@
 #include "agent/agentstate.h"
 
+#include "base/error.h"
+#include "base/logline.h"
+#include "membership/domainorder.h"
+#include "membership/storewatchers.h"
+
+#include <algorithm>
+
 namespace bronzeshed {
 
-AgentState::AgentState(InstanceId id, RegionName region, ZoneName zone, Endpoint agentEndpoint)
+namespace {
+
+/** Peers confirm the state every second; after this time the store is asked instead. */
+constexpr std::chrono::seconds PeerSilenceLimit{3};
+
+void logMemberChange(const MemberChange &change)
 {
-    this->self.id = std::move(id);
-    this->self.region = std::move(region);
-    this->self.zone = std::move(zone);
-    this->self.agentEndpoint = std::move(agentEndpoint);
+    const Member &member = change.member;
+    LogLine("member_changed")
+        .add("id", member.id.value())
+        .add("from", change.from ? memberStateName(*change.from) : "unknown")
+        .add("to", memberStateName(member.state))
+        .add("incarnation", member.incarnation.value())
+        .add("counter", member.counter)
+        .add("agent", member.agentEndpoint.toString());
+}
+
+} // namespace
+
+AgentState::AgentState(const Clock &clock, AgentIdentity identity, Wakeup &newsWakeup)
+    : clock(clock)
+    , identity(std::move(identity))
+    , newsWakeup(newsWakeup)
+    , entry(clock)
+    , table(clock)
+    , freshness(clock)
+{
+    this->updateAlone();
 }
 
 ControlState AgentState::currentState()
@@ -17,16 +46,9 @@
     state.sequence = this->sequence;
     state.configVersion = this->newest.version;
     state.declarationText = this->newest.declarationText;
-    state.upstreams = this->upstreams;
-    for (UpstreamInfo &upstream : state.upstreams) {
-        const auto mark = this->newest.leaveMarks.find(upstream.id);
-        const bool marked = mark != this->newest.leaveMarks.end() && mark->second.leaving;
-        upstream.leaving = upstream.leaving || marked;
-    }
-    if (this->entryKnown) {
-        state.members.push_back(this->self);
-    }
-    state.confirmedAge = std::chrono::steady_clock::now() - this->confirmedAt;
+    state.upstreams = this->markedUpstreams();
+    state.members = this->table.members();
+    state.confirmedAge = this->freshness.age();
     return state;
 }
 
@@ -36,44 +58,139 @@
     return this->sequence;
 }
 
+void AgentState::setAgentEndpoint(const Endpoint &endpoint)
+{
+    const std::lock_guard lock(this->mutex);
+    this->agentEndpoint = endpoint;
+    this->updateAlone();
+}
+
 void AgentState::entryReported(const EntryStatus &status)
 {
     const std::lock_guard lock(this->mutex);
-    Member updated = this->self;
-    updated.incarnation = status.incarnation;
-    updated.callerEndpoint = status.callerEndpoint;
-    updated.ledgerEndpoint = status.ledgerEndpoint;
-    updated.state = status.leaving ? MemberState::Leaving : MemberState::Alive;
-    updated.configVersion = status.configVersionInForce;
-    if (!this->entryKnown || !(updated == this->self)) {
-        this->self = updated;
-        this->entryKnown = true;
-        ++this->sequence;
+    this->entry.reported();
+    this->publishSelf(status);
+    this->wakeForNews();
+}
+
+void AgentState::publishSelf(const EntryStatus &status)
+{
+    Member member;
+    member.id = this->identity.id;
+    member.region = this->identity.region;
+    member.zone = this->identity.zone;
+    member.agentEndpoint = this->agentEndpoint;
+    member.incarnation = status.incarnation;
+    member.callerEndpoint = status.callerEndpoint;
+    member.ledgerEndpoint = status.ledgerEndpoint;
+    member.configVersion = status.configVersionInForce;
+    member.state = status.leaving ? MemberState::Leaving : MemberState::Alive;
+    const auto known = this->table.find(member.id);
+    const auto &self = this->table.self();
+    const bool isNew = !self || self->incarnation != member.incarnation;
+    if (isNew && known && known->incarnation > member.incarnation) {
+        LogLine("incarnation_behind", LogLevel::Warning)
+            .add("known", known->incarnation.value())
+            .add("reported", member.incarnation.value())
+            .add("remedy", "set the clock of this instance and restart its entry");
     }
+    this->table.setSelf(member);
+    this->handleChanges(true);
+}
+
+void AgentState::publishOwnDeath(const char *reason)
+{
+    auto known = this->table.find(this->identity.id);
+    if (!known || known->state == MemberState::Dead) {
+        return;
+    }
+    LogLine("entry_lost", LogLevel::Warning)
+        .add("id", known->id.value())
+        .add("incarnation", known->incarnation.value())
+        .add("reason", reason);
+    known->state = MemberState::Dead;
+    known->agentEndpoint = this->agentEndpoint;
+    this->table.setSelf(*known);
+    this->handleChanges(true);
+}
+
+void AgentState::entryLinkOpened()
+{
+    const std::lock_guard lock(this->mutex);
+    this->entry.linkOpened();
+}
+
+void AgentState::entryLinkClosed()
+{
+    const std::lock_guard lock(this->mutex);
+    this->entry.linkClosed();
 }
 
 void AgentState::adoptRecord(const ConfigRecord &record)
 {
     const std::lock_guard lock(this->mutex);
-    if (record.version > this->newest.version) {
-        this->newest = record;
-        ++this->sequence;
+    this->adoptLocked(record, true);
+    this->wakeForNews();
+}
+
+void AgentState::adoptLocked(const ConfigRecord &record, bool forward)
+{
+    this->mergeMarksLocked(record.leaveMarks, forward);
+    if (record.version <= this->newest.version) {
+        return;
     }
+    LogLine("configuration_adopted")
+        .add("from", this->newest.version.value())
+        .add("to", record.version.value())
+        .add("write_id", record.writeId);
+    LeaveMarks marks = std::move(this->newest.leaveMarks);
+    this->newest = record;
+    this->newest.leaveMarks = std::move(marks);
+    this->newestText = serializeConfigRecord(this->newest);
+    this->news.record = this->news.record || forward;
+    ++this->sequence;
 }
 
-void AgentState::adoptInstances(const InstanceSnapshot &snapshot)
+bool AgentState::mergeMarks(const LeaveMarks &marks)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->upstreams != snapshot.upstreams) {
-        this->upstreams = snapshot.upstreams;
-        ++this->sequence;
+    const bool changed = this->mergeMarksLocked(marks, true);
+    this->wakeForNews();
+    return changed;
+}
+
+bool AgentState::mergeMarksLocked(const LeaveMarks &marks, bool forward)
+{
+    LeaveMarks newer;
+    for (const auto &[upstream, mark] : marks) {
+        const auto known = this->newest.leaveMarks.find(upstream);
+        if (known == this->newest.leaveMarks.end() || mark.counter > known->second.counter) {
+            newer[upstream] = mark;
+            LogLine("leave_mark_changed")
+                .add("upstream", upstream.value())
+                .add("counter", mark.counter)
+                .add("leaving", mark.leaving);
+        }
     }
+    if (newer.empty()) {
+        return false;
+    }
+    mergeLeaveMarks(this->newest.leaveMarks, newer);
+    if (forward) {
+        mergeLeaveMarks(this->news.leaveMarks, newer);
+    }
+    ++this->sequence;
+    return true;
 }
 
-void AgentState::confirm(TimePoint now)
+void AgentState::adoptInstances(const InstanceSnapshot &snapshot)
 {
     const std::lock_guard lock(this->mutex);
-    this->confirmedAt = now;
+    if (!this->instances || this->instances->upstreams != snapshot.upstreams) {
+        ++this->sequence;
+    }
+    this->instances = snapshot;
+    this->updateAlone();
 }
 
 ConfigRecord AgentState::record()
@@ -82,4 +199,114 @@
     return this->newest;
 }
 
+std::vector<Member> AgentState::members()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.members();
+}
+
+std::vector<UpstreamInfo> AgentState::upstreams()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->markedUpstreams();
+}
+
+std::vector<UpstreamInfo> AgentState::markedUpstreams() const
+{
+    std::vector<UpstreamInfo> marked;
+    if (this->instances) {
+        marked = this->instances->upstreams;
+    }
+    for (UpstreamInfo &upstream : marked) {
+        const auto mark = this->newest.leaveMarks.find(upstream.id);
+        const bool leaves = mark != this->newest.leaveMarks.end() && mark->second.leaving;
+        upstream.leaving = upstream.leaving || leaves;
+    }
+    return marked;
+}
+
+bool AgentState::isFirstForConfig()
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<Member> live = this->table.members();
+    std::erase_if(live, [](const Member &member) { return !isLive(member); });
+    return live.empty()
+        || rendezvousOrder(ConfigKey, std::move(live)).front().id == this->identity.id;
+}
+
+bool AgentState::isStoreWatcher()
+{
+    const std::lock_guard lock(this->mutex);
+    return holdsStoreWatch(ConfigKey, this->identity.id, this->identity.region,
+                           this->table.members());
+}
+
+void AgentState::storeAnswered(TimePoint sentAt)
+{
+    const std::lock_guard lock(this->mutex);
+    this->freshness.contacted(sentAt);
+}
+
+void AgentState::listAnswered(TimePoint sentAt)
+{
+    const std::lock_guard lock(this->mutex);
+    this->freshness.listAnswered(sentAt);
+}
+
+bool AgentState::needsConfirmation()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->freshness.age() > PeerSilenceLimit;
+}
+
+void AgentState::tick()
+{
+    const std::lock_guard lock(this->mutex);
+    this->freshness.tick();
+    const EntryLoss loss = this->entry.check();
+    if (loss != EntryLoss::None) {
+        this->publishOwnDeath(entryLossName(loss));
+    }
+    this->table.tick();
+    this->handleChanges(false);
+    this->updateAlone();
+    this->wakeForNews();
+}
+
+void AgentState::updateAlone()
+{
+    const std::vector<Member> known = this->otherMembers();
+    if (!this->instances) {
+        this->freshness.setAlone(known.empty());
+        return;
+    }
+    // Dead members do not count if the list does not name them. If this instance is cut off from
+    // all others, the last list still does, and the state must not count as confirmed.
+    const bool anyMember = std::any_of(known.begin(), known.end(), [](const Member &member) {
+        return member.state != MemberState::Dead;
+    });
+    const bool anyListed
+        = std::any_of(this->instances->agents.begin(), this->instances->agents.end(),
+                      [this](const Endpoint &agent) { return agent != this->agentEndpoint; });
+    this->freshness.setAlone(!anyMember && !anyListed);
+}
+
+void AgentState::handleChanges(bool forward)
+{
+    for (const MemberChange &change : this->table.takeChanges()) {
+        logMemberChange(change);
+        ++this->sequence;
+        if (forward) {
+            this->news.members[change.member.id] = change.member;
+        }
+    }
+}
+
+void AgentState::wakeForNews()
+{
+    if (!this->news.isEmpty()) {
+        this->newsWakeup.notify();
+    }
+}
+
 } // namespace bronzeshed
--- /dev/null
+++ b/src/agent/gossip.cpp
@@ -0,0 +1,106 @@
+#include "agent/gossip.h"
+
+#include <algorithm>
+
+namespace bronzeshed {
+
+namespace {
+
+/** Removes from @p reply what the caller itself has just sent. */
+void removeKnown(PeerUpdate &reply, const PeerUpdate &sent)
+{
+    std::erase_if(reply.members, [&](const Member &member) {
+        return std::find(sent.members.begin(), sent.members.end(), member) != sent.members.end();
+    });
+    std::erase_if(reply.leaveMarks, [&](const auto &item) {
+        const auto mark = sent.leaveMarks.find(item.first);
+        return mark != sent.leaveMarks.end() && mark->second == item.second;
+    });
+}
+
+} // namespace
+
+Gossip::Gossip(AgentState &state, Random &random)
+    : state(state)
+    , planner(random)
+{
+}
+
+void Gossip::mergeSender(const PeerDigest &digest)
+{
+    if (!digest.sender.id.isEmpty()) {
+        PeerUpdate update;
+        update.members.push_back(digest.sender);
+        this->state.mergeUpdate(update, false);
+    }
+}
+
+PeerDigest Gossip::exchange(const PeerDigest &digest)
+{
+    this->mergeSender(digest);
+    return this->state.digest();
+}
+
+PeerUpdate Gossip::sync(const PeerUpdate &update, const PeerDigest &digest)
+{
+    this->state.mergeUpdate(update, false);
+    PeerUpdate reply = this->state.updateFor(digest);
+    removeKnown(reply, update);
+    return reply;
+}
+
+void Gossip::push(const PeerUpdate &update)
+{
+    this->state.mergeUpdate(update, true);
+}
+
+std::vector<Endpoint> Gossip::exchangeTargets()
+{
+    return this->planner.exchangeTargets(this->state.others(), this->state.seeds());
+}
+
+std::vector<Endpoint> Gossip::pushTargets()
+{
+    return this->planner.pushTargets(this->state.others(), this->state.seeds());
+}
+
+PeerUpdate Gossip::takeNews()
+{
+    return this->state.takeNews();
+}
+
+PeerDigest Gossip::digest()
+{
+    return this->state.digest();
+}
+
+bool Gossip::differs(const PeerDigest &theirs)
+{
+    this->mergeSender(theirs);
+    const PeerDigest own = this->state.digest();
+    return own.configVersion != theirs.configVersion || own.membershipHash != theirs.membershipHash
+        || own.leaveMarksHash != theirs.leaveMarksHash;
+}
+
+PeerUpdate Gossip::updateFor(const PeerDigest &theirs)
+{
+    return this->state.updateFor(theirs);
+}
+
+void Gossip::merge(const PeerUpdate &update)
+{
+    this->state.mergeUpdate(update, false);
+}
+
+void Gossip::peerAnswered(const Endpoint &peer, TimePoint sentAt)
+{
+    this->state.peerAnswered(peer, sentAt);
+}
+
+void Gossip::peerFailed(const Endpoint &peer)
+{
+    this->state.peerFailed(peer);
+    this->planner.callAgain(peer);
+}
+
+} // namespace bronzeshed
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,10 +1,13 @@
-#include "agent/agentstate.h"
-#include "base/error.h"
+#include "agent/gossip.h"
+#include "agent/instancelistreader.h"
+#include "agent/storereader.h"
+#include "agent/worker.h"
 #include "base/logline.h"
 #include "base/program.h"
 #include "platform/httpinstancelist.h"
 #include "platform/httpkeyvaluestore.h"
 #include "rpc/agentserver.h"
+#include "rpc/peerclient.h"
 
 #include <iostream>
 
@@ -13,46 +16,74 @@
 namespace {
 
 constexpr std::chrono::milliseconds PlatformTimeout{2000};
-constexpr std::chrono::milliseconds PollPeriod{1000};
+constexpr std::chrono::milliseconds TickPeriod{100};
 
 void checkSettings(const Settings &settings)
 {
     settings.endpoint("listen");
     settings.endpoint("store");
     settings.endpoint("instance-list");
+    settings.milliseconds("totals-period-ms", 100, 86400000);
 }
 
-void poll(AgentState &state, KeyValueStore &store, InstanceList &list, std::uint64_t &revision)
+void logTotals(const ControlCounters &counters)
 {
-    try {
-        const StoredValue stored = store.get(ConfigKey);
-        if (stored.revision > 0) {
-            state.adoptRecord(parseConfigRecord(stored.value));
-        }
-        state.confirm(std::chrono::steady_clock::now());
-        if (const auto snapshot = list.fetch(revision)) {
-            state.adoptInstances(*snapshot);
-            revision = snapshot->revision;
+    const ControlTotals totals = counters.totals();
+    LogLine line("control_totals");
+    line.add("bytes_sent", totals.bytesSent).add("bytes_received", totals.bytesReceived);
+    for (std::size_t kind = 0; kind < ControlMessageKinds; ++kind) {
+        line.add(controlMessageName(static_cast<ControlMessage>(kind)), totals.messages[kind]);
+    }
+}
+
+/** Drives the time-driven part of the state until a signal asks to stop. */
+void runUntilStopped(SignalMonitor &signals, AgentState &state, const ControlCounters &counters,
+                     Duration totalsPeriod)
+{
+    TimePoint nextTotals = std::chrono::steady_clock::now() + totalsPeriod;
+    while (signals.wait(TickPeriod) == StopRequest::None) {
+        state.tick();
+        if (std::chrono::steady_clock::now() >= nextTotals) {
+            logTotals(counters);
+            nextTotals = std::chrono::steady_clock::now() + totalsPeriod;
         }
-    } catch (const Error &error) {
-        LogLine("platform_poll_failed", LogLevel::Warning).add("error", error.what());
     }
+    logTotals(counters);
 }
 
 int runAgent(const Settings &settings)
 {
     SignalMonitor signals;
-    const Endpoint listen = settings.endpoint("listen");
-    AgentState state(InstanceId(settings.text("instance")), RegionName(settings.text("region")),
-                     ZoneName(settings.text("zone")), listen);
-    HttpKeyValueStore store(settings.endpoint("store"), PlatformTimeout);
-    HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
-    AgentServer server(listen, state);
+    SystemClock clock;
+    SeededRandom gossipRandom = makeSystemRandom();
+    SeededRandom storeRandom = makeSystemRandom();
+    ControlCounters counters;
+    Wakeup newsWakeup;
+    AgentState state(clock,
+                     {InstanceId(settings.text("instance")), RegionName(settings.text("region")),
+                      ZoneName(settings.text("zone"))},
+                     newsWakeup);
+    Gossip gossip(state, gossipRandom);
+    AgentServer server(settings.endpoint("listen"), state, gossip, counters);
+    state.setAgentEndpoint(server.localEndpoint());
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
-    std::uint64_t revision = 0;
-    do {
-        poll(state, store, list, revision);
-    } while (signals.wait(PollPeriod) == StopRequest::None);
+
+    std::atomic<bool> stopping{false};
+    const auto cancelWatch = [&] { return stopping.load() || state.needsConfirmation(); };
+    HttpKeyValueStore store(settings.endpoint("store"), PlatformTimeout, cancelWatch);
+    HttpInstanceList list(settings.endpoint("instance-list"), PlatformTimeout);
+    StoreReader storeReader(clock, storeRandom, store, state, counters, cancelWatch);
+    InstanceListReader listReader(clock, list, state, counters);
+    Worker listThread("instance_list", [&] { return listReader.step(); });
+    Worker storeThread("store", [&] { return storeReader.step(); });
+    PeerClient peers(gossip, newsWakeup, counters);
+
+    runUntilStopped(signals, state, counters,
+                    settings.milliseconds("totals-period-ms", 100, 86400000));
+    stopping.store(true);
+    peers.stop();
+    storeThread.stop();
+    listThread.stop();
     server.stop();
     return 0;
 }
@@ -71,6 +102,7 @@
         {"listen", "", "address for RPC from the entry and from other agents", true},
         {"store", "", "address of the platform's key-value service", true},
         {"instance-list", "", "address of the platform's instance list", true},
+        {"totals-period-ms", "60000", "how often the totals of the control traffic are logged"},
     };
     Settings settings("bronzeshed-agent", "Keeps the control state of one entry instance.", specs);
     return runProgram(argc, argv, settings, checkSettings, runAgent);
--- /dev/null
+++ b/src/agent/storereader.cpp
@@ -0,0 +1,85 @@
+#include "agent/storereader.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "membership/storewatchers.h"
+
+namespace bronzeshed {
+
+namespace {
+
+/** How soon an agent notices that it became a watcher or lost its peers. */
+constexpr std::chrono::milliseconds IdlePeriod{200};
+
+} // namespace
+
+StoreReader::StoreReader(const Clock &clock, Random &random, KeyValueStore &store,
+                         AgentState &state, ControlCounters &counters,
+                         std::function<bool()> cancelled)
+    : clock(clock)
+    , random(random)
+    , store(store)
+    , state(state)
+    , counters(counters)
+    , cancelled(std::move(cancelled))
+{
+}
+
+Duration StoreReader::step()
+{
+    try {
+        // A watcher also reads from time to time: a watch never reports a revision that went back.
+        if (this->clock.now() >= this->nextRead || this->state.needsConfirmation()) {
+            this->read();
+        } else if (this->state.isStoreWatcher()) {
+            this->watch();
+        } else {
+            return IdlePeriod;
+        }
+        if (this->failures > 0) {
+            LogLine("store_recovered").add("failures", this->failures);
+        }
+        this->failures = 0;
+        return Duration::zero();
+    } catch (const Error &error) {
+        if (this->cancelled()) {
+            return Duration::zero();
+        }
+        this->counters.count(ControlMessage::StoreFailed);
+        LogLine("store_call_failed", LogLevel::Warning).add("error", error.what());
+        // The store may come back with another state, which only a read shows.
+        this->nextRead = TimePoint();
+        return storeBackoff(++this->failures, this->random);
+    }
+}
+
+void StoreReader::read()
+{
+    this->counters.count(ControlMessage::StoreRead);
+    const TimePoint sentAt = this->clock.now();
+    const StoredValue stored = this->store.get(ConfigKey);
+    this->adopt(stored, sentAt);
+    this->nextRead = sentAt + nextStoreRead(this->random);
+}
+
+void StoreReader::watch()
+{
+    this->counters.count(ControlMessage::StoreWatch);
+    const TimePoint sentAt = this->clock.now();
+    const auto stored = this->store.watch(ConfigKey, this->revision);
+    if (stored) {
+        this->adopt(*stored, sentAt);
+    }
+}
+
+void StoreReader::adopt(const StoredValue &stored, TimePoint sentAt)
+{
+    if (stored.revision > 0) {
+        this->state.adoptRecord(parseConfigRecord(stored.value));
+    }
+    // Kept only after the record was adopted, so that a malformed one is reported again.
+    this->revision = stored.revision;
+    this->state.storeAnswered(sentAt);
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/agent/worker.h
@@ -0,0 +1,37 @@
+#ifndef BRONZESHED_AGENT_WORKER_H
+#define BRONZESHED_AGENT_WORKER_H
+
+#include "base/wakeup.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace bronzeshed {
+
+/** A thread that repeats a step and sleeps in between. No exception ends it. */
+class Worker
+{
+public:
+    /** @param step one step; returns how long to sleep before the next one */
+    Worker(std::string name, std::function<Duration()> step);
+    ~Worker();
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    void stop();
+
+private:
+    void run();
+
+    std::string name;
+    std::function<Duration()> step;
+    Wakeup wakeup;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t ResponseBodyLimit = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds CancelCheckPeriod{100};
 
 /** Runs the context until the operation that sets @p error has completed. */
 void await(asio::io_context &context, const beast::error_code &error, const std::string &what,
@@ -29,10 +30,24 @@
     }
 }
 
+/** Runs the context until its work is done, and cancels the work when asked to. */
+void runCancellable(asio::io_context &context, beast::tcp_stream &stream,
+                    const std::function<bool()> &cancelled)
+{
+    context.restart();
+    while (!context.stopped()) {
+        context.run_for(CancelCheckPeriod);
+        if (!context.stopped() && cancelled()) {
+            stream.cancel();
+        }
+    }
+}
+
 } // namespace
 
 HttpResponse sendHttpRequest(const Endpoint &endpoint, const HttpRequest &request,
-                             std::chrono::milliseconds timeout)
+                             std::chrono::milliseconds timeout,
+                             const std::function<bool()> &cancelled)
 {
     asio::io_context context;
     beast::tcp_stream stream(context);
@@ -53,6 +68,9 @@
     parser.body_limit(ResponseBodyLimit);
     parser.skip(request.method == "HEAD");
     http::async_read(stream, buffer, parser, store);
+    if (cancelled) {
+        runCancellable(context, stream, cancelled);
+    }
     await(context, error, "no whole response from " + endpoint.toString(), true);
     return fromBeastResponse(parser.release());
 }
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -6,6 +6,7 @@
 #include "http/httpmessage.h"
 
 #include <chrono>
+#include <functional>
 
 namespace bronzeshed {
 
@@ -29,10 +30,12 @@
 /**
  * Sends one request on a new connection and waits for the whole response.
  * @param timeout limit for connecting, sending and receiving together
+ * @param cancelled if given, asked about every 100 ms; true ends the wait for the response
  * @throws HttpClientError if there is no whole response in time
  */
 HttpResponse sendHttpRequest(const Endpoint &endpoint, const HttpRequest &request,
-                             std::chrono::milliseconds timeout);
+                             std::chrono::milliseconds timeout,
+                             const std::function<bool()> &cancelled = {});
 
 } // namespace bronzeshed
 
--- a/src/membership/controlports.h
+++ b/src/membership/controlports.h
@@ -27,6 +27,10 @@
     /** Sequence of the newest state. */
     virtual std::uint64_t currentSequence() = 0;
     virtual void entryReported(const EntryStatus &status) = 0;
+    /** A connection on which an entry reported was opened. */
+    virtual void entryLinkOpened() { }
+    /** Such a connection broke or was closed. */
+    virtual void entryLinkClosed() { }
 };
 
 /** Port through which an entry receives the state. Called on the link's thread. */
--- a/src/platform/httpkeyvaluestore.cpp
+++ b/src/platform/httpkeyvaluestore.cpp
@@ -31,9 +31,11 @@
 
 } // namespace
 
-HttpKeyValueStore::HttpKeyValueStore(Endpoint endpoint, std::chrono::milliseconds timeout)
+HttpKeyValueStore::HttpKeyValueStore(Endpoint endpoint, std::chrono::milliseconds timeout,
+                                     std::function<bool()> watchCancelled)
     : endpoint(std::move(endpoint))
     , timeout(timeout)
+    , watchCancelled(std::move(watchCancelled))
 {
 }
 
@@ -48,7 +50,8 @@
 {
     HttpRequest request;
     request.target = "/kv/" + key + "?watch=" + std::to_string(revision);
-    HttpResponse response = sendHttpRequest(this->endpoint, request, WatchTimeout);
+    HttpResponse response
+        = sendHttpRequest(this->endpoint, request, WatchTimeout, this->watchCancelled);
     if (response.status == 304) {
         return std::nullopt;
     }
--- a/src/platform/httpkeyvaluestore.h
+++ b/src/platform/httpkeyvaluestore.h
@@ -5,6 +5,7 @@
 #include "platform/keyvaluestore.h"
 
 #include <chrono>
+#include <functional>
 
 namespace bronzeshed {
 
@@ -12,7 +13,12 @@
 class HttpKeyValueStore : public KeyValueStore
 {
 public:
-    HttpKeyValueStore(Endpoint endpoint, std::chrono::milliseconds timeout);
+    /**
+     * @param timeout limit of each call but a watch
+     * @param watchCancelled if given, ends a waiting watch when it becomes true
+     */
+    HttpKeyValueStore(Endpoint endpoint, std::chrono::milliseconds timeout,
+                      std::function<bool()> watchCancelled = {});
 
     StoredValue get(const std::string &key) override;
     std::optional<StoredValue> watch(const std::string &key, std::uint64_t revision) override;
@@ -22,6 +28,7 @@
 private:
     Endpoint endpoint;
     std::chrono::milliseconds timeout;
+    std::function<bool()> watchCancelled;
 };
 
 } // namespace bronzeshed
--- a/src/rpc/agentserver.h
+++ b/src/rpc/agentserver.h
@@ -2,6 +2,8 @@
 #define BRONZESHED_RPC_AGENTSERVER_H
 
 #include "membership/controlports.h"
+#include "rpc/controlcounters.h"
+#include "rpc/peerports.h"
 
 #include <atomic>
 #include <future>
@@ -9,12 +11,13 @@
 
 namespace bronzeshed {
 
-/** Serves the Agent interface on a thread of its own. */
+/** Serves the interfaces Agent and Peer on one port and on a thread of its own. */
 class AgentServer
 {
 public:
     /** @throws Error if the endpoint cannot be bound */
-    AgentServer(const Endpoint &endpoint, ControlStateSource &source);
+    AgentServer(const Endpoint &endpoint, ControlStateSource &source, PeerHandler &peers,
+                ControlCounters &counters);
     ~AgentServer();
     AgentServer(const AgentServer &) = delete;
     AgentServer &operator=(const AgentServer &) = delete;
@@ -26,6 +29,8 @@
     void run(const Endpoint &endpoint, std::promise<std::uint16_t> &ready);
 
     ControlStateSource &source;
+    PeerHandler &peers;
+    ControlCounters &counters;
     Endpoint bound;
     std::atomic<bool> stopping{false};
     std::thread thread;
--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -78,12 +78,19 @@
   sender @3 :MemberMessage;
 }
 
-# Served by an agent to other agents.
+# Served by an agent to other agents. A record is the JSON of a configuration record; it is empty
+# where the receiver has that version already. The digest of a sync is the caller's; its sender is
+# left empty.
 interface Peer {
   exchange @0 (digest :Digest) -> (digest :Digest);
-  sync @1 (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text)
+  sync @1 (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text,
+           digest :Digest)
       -> (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text);
-  push @2 (record :Text) -> ();
+  push @2 (record :Text, members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage)) -> ();
+}
+
+# What an agent serves on its one port.
+interface Control extends(Agent, Peer) {
 }
 
 enum ResolutionKind {
--- a/src/rpc/control.capnp.c++
+++ b/src/rpc/control.capnp.c++
@@ -1168,45 +1168,52 @@
   1, 1, i_f226b15d6e261577, nullptr, nullptr, { &s_f226b15d6e261577, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<71> b_c588262b0b09abac = {
+static const ::capnp::_::AlignedData<86> b_c588262b0b09abac = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     172, 171,   9,  11,  43,  38, 136, 197,
      19,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      3,   0,   7,   0,   0,   0,   0,   0,
+      4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 250,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 231,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  80, 101,
     101, 114,  46, 115, 121, 110,  99,  36,
      80,  97, 114,  97, 109, 115,   0,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     16,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  66,   0,   0,   0,
+     97,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     92,   0,   0,   0,   2,   0,   1,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     89,   0,   0,   0,  90,   0,   0,   0,
+    117,   0,   0,   0,  90,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     88,   0,   0,   0,   3,   0,   1,   0,
-    116,   0,   0,   0,   2,   0,   1,   0,
+    116,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    113,   0,   0,   0,  58,   0,   0,   0,
+    141,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    108,   0,   0,   0,   3,   0,   1,   0,
-    120,   0,   0,   0,   2,   0,   1,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    148,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    145,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
     109, 101, 109,  98, 101, 114, 115,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -1238,6 +1245,14 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 105, 103, 101, 115, 116,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+     75,  49, 218, 215, 197, 184,  55, 209,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
@@ -1246,12 +1261,13 @@
 static const ::capnp::_::RawSchema* const d_c588262b0b09abac[] = {
   &s_887b7cf5664e11ed,
   &s_8b448188bd0885e9,
+  &s_d137b8c5d7da314b,
 };
-static const uint16_t m_c588262b0b09abac[] = {1, 0, 2};
-static const uint16_t i_c588262b0b09abac[] = {0, 1, 2};
+static const uint16_t m_c588262b0b09abac[] = {3, 1, 0, 2};
+static const uint16_t i_c588262b0b09abac[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_c588262b0b09abac = {
-  0xc588262b0b09abac, b_c588262b0b09abac.words, 71, d_c588262b0b09abac, m_c588262b0b09abac,
-  2, 3, i_c588262b0b09abac, nullptr, nullptr, { &s_c588262b0b09abac, nullptr, nullptr, 0, 0, nullptr }
+  0xc588262b0b09abac, b_c588262b0b09abac.words, 86, d_c588262b0b09abac, m_c588262b0b09abac,
+  3, 4, i_c588262b0b09abac, nullptr, nullptr, { &s_c588262b0b09abac, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<71> b_ecb403104d88fb9a = {
@@ -1340,47 +1356,90 @@
   2, 3, i_ecb403104d88fb9a, nullptr, nullptr, { &s_ecb403104d88fb9a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<32> b_ccf4046d916ef213 = {
+static const ::capnp::_::AlignedData<71> b_ccf4046d916ef213 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      19, 242, 110, 145, 109,   4, 244, 204,
      19,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      3,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 250,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  80, 101,
     101, 114,  46, 112, 117, 115, 104,  36,
      80,  97, 114,  97, 109, 115,   0,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  58,   0,   0,   0,
+     69,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     20,   0,   0,   0,   2,   0,   1,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
     114, 101,  99, 111, 114, 100,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109,  98, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    237,  17,  78, 102, 245, 124, 123, 136,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 101,  77,  97, 114,
+    107, 115,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    233, 133,   8, 189, 136, 129,  68, 139,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_ccf4046d916ef213 = b_ccf4046d916ef213.words;
 #if !CAPNP_LITE
-static const uint16_t m_ccf4046d916ef213[] = {0};
-static const uint16_t i_ccf4046d916ef213[] = {0};
+static const ::capnp::_::RawSchema* const d_ccf4046d916ef213[] = {
+  &s_887b7cf5664e11ed,
+  &s_8b448188bd0885e9,
+};
+static const uint16_t m_ccf4046d916ef213[] = {2, 1, 0};
+static const uint16_t i_ccf4046d916ef213[] = {0, 1, 2};
 const ::capnp::_::RawSchema s_ccf4046d916ef213 = {
-  0xccf4046d916ef213, b_ccf4046d916ef213.words, 32, nullptr, m_ccf4046d916ef213,
-  0, 1, i_ccf4046d916ef213, nullptr, nullptr, { &s_ccf4046d916ef213, nullptr, nullptr, 0, 0, nullptr }
+  0xccf4046d916ef213, b_ccf4046d916ef213.words, 71, d_ccf4046d916ef213, m_ccf4046d916ef213,
+  2, 3, i_ccf4046d916ef213, nullptr, nullptr, { &s_ccf4046d916ef213, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<16> b_c7ba7f9086276ef5 = {
@@ -1408,6 +1467,41 @@
   0, 0, nullptr, nullptr, nullptr, { &s_c7ba7f9086276ef5, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<22> b_9fe8832cba66b6d6 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    214, 182, 102, 186,  44, 131, 232, 159,
+     14,   0,   0,   0,   3,   0,   0,   0,
+    145,  69, 226, 183, 198, 240, 161, 211,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  39,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  67, 111,
+    110, 116, 114, 111, 108,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   3,   0,   5,   0,
+      8,   0,   0,   0,   1,   0,   1,   0,
+    255,  36, 175, 186, 218, 196, 193, 152,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    195,  71,  56,  63, 254,  95, 206, 252,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9fe8832cba66b6d6 = b_9fe8832cba66b6d6.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9fe8832cba66b6d6[] = {
+  &s_98c1c4dabaaf24ff,
+  &s_fcce5ffe3f3847c3,
+};
+const ::capnp::_::RawSchema s_9fe8832cba66b6d6 = {
+  0x9fe8832cba66b6d6, b_9fe8832cba66b6d6.words, 22, d_9fe8832cba66b6d6, nullptr,
+  2, 0, nullptr, nullptr, nullptr, { &s_9fe8832cba66b6d6, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<40> b_85b5d1569a6c9725 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      37, 151, 108, 154,  86, 209, 181, 133,
@@ -2046,6 +2140,40 @@
 constexpr ::capnp::_::RawSchema const* Peer::PushResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
+    uint64_t interfaceId, uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (interfaceId) {
+    case 0x9fe8832cba66b6d6ull:
+      return dispatchCallInternal(methodId, context);
+    case 0x98c1c4dabaaf24ffull:
+      return  ::bronzeshed::rpc::Agent::Server::dispatchCallInternal(methodId, context);
+    case 0xfcce5ffe3f3847c3ull:
+      return  ::bronzeshed::rpc::Peer::Server::dispatchCallInternal(methodId, context);
+    default:
+      return internalUnimplemented("control.capnp:Control", interfaceId);
+  }
+}
+::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCallInternal(
+    uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (methodId) {
+    default:
+      (void)context;
+      return ::capnp::Capability::Server::internalUnimplemented(
+          "control.capnp:Control",
+          0x9fe8832cba66b6d6ull, methodId);
+  }
+}
+#endif  // !CAPNP_LITE
+
+// Control
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // HeaderMessage
 constexpr uint16_t HeaderMessage::_capnpPrivate::dataWordSize;
 constexpr uint16_t HeaderMessage::_capnpPrivate::pointerCount;
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -44,6 +44,7 @@
 CAPNP_DECLARE_SCHEMA(ecb403104d88fb9a);
 CAPNP_DECLARE_SCHEMA(ccf4046d916ef213);
 CAPNP_DECLARE_SCHEMA(c7ba7f9086276ef5);
+CAPNP_DECLARE_SCHEMA(9fe8832cba66b6d6);
 CAPNP_DECLARE_SCHEMA(85b5d1569a6c9725);
 enum class ResolutionKind_85b5d1569a6c9725: uint16_t {
   FENCED,
@@ -282,7 +283,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c588262b0b09abac, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c588262b0b09abac, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -312,7 +313,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ccf4046d916ef213, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ccf4046d916ef213, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -334,6 +335,23 @@
   };
 };
 
+struct Control {
+  Control() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(9fe8832cba66b6d6)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
 typedef ::capnp::schemas::ResolutionKind_85b5d1569a6c9725 ResolutionKind;
 
 struct HeaderMessage {
@@ -1678,6 +1696,9 @@
   inline bool hasRecord() const;
   inline  ::capnp::Text::Reader getRecord() const;
 
+  inline bool hasDigest() const;
+  inline  ::bronzeshed::rpc::Digest::Reader getDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1727,6 +1748,13 @@
   inline void adoptRecord(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRecord();
 
+  inline bool hasDigest();
+  inline  ::bronzeshed::rpc::Digest::Builder getDigest();
+  inline void setDigest( ::bronzeshed::rpc::Digest::Reader value);
+  inline  ::bronzeshed::rpc::Digest::Builder initDigest();
+  inline void adoptDigest(::capnp::Orphan< ::bronzeshed::rpc::Digest>&& value);
+  inline ::capnp::Orphan< ::bronzeshed::rpc::Digest> disownDigest();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1745,6 +1773,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bronzeshed::rpc::Digest::Pipeline getDigest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1874,6 +1903,12 @@
   inline bool hasRecord() const;
   inline  ::capnp::Text::Reader getRecord() const;
 
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasLeaveMarks() const;
+  inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Reader getLeaveMarks() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1909,6 +1944,20 @@
   inline void adoptRecord(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRecord();
 
+  inline bool hasMembers();
+  inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasLeaveMarks();
+  inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Builder getLeaveMarks();
+  inline void setLeaveMarks( ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Builder initLeaveMarks(unsigned int size);
+  inline void adoptLeaveMarks(::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>> disownLeaveMarks();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2006,6 +2055,57 @@
 };
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+class Control::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::bronzeshed::rpc::Agent::Client,
+      public virtual  ::bronzeshed::rpc::Peer::Client {
+public:
+  typedef Control Calls;
+  typedef Control Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+
+protected:
+  Client() = default;
+};
+
+class Control::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::bronzeshed::rpc::Agent::Server,
+      public virtual  ::bronzeshed::rpc::Peer::Server {
+public:
+  typedef Control Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+
+  inline  ::bronzeshed::rpc::Control::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::bronzeshed::rpc::Control>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
 class HeaderMessage::Reader {
 public:
   typedef HeaderMessage Reads;
@@ -3694,6 +3794,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SyncParams::Reader::hasDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncParams::Builder::hasDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeshed::rpc::Digest::Reader Peer::SyncParams::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::bronzeshed::rpc::Digest::Builder Peer::SyncParams::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeshed::rpc::Digest::Pipeline Peer::SyncParams::Pipeline::getDigest() {
+  return  ::bronzeshed::rpc::Digest::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SyncParams::Builder::setDigest( ::bronzeshed::rpc::Digest::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeshed::rpc::Digest::Builder Peer::SyncParams::Builder::initDigest() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncParams::Builder::adoptDigest(
+    ::capnp::Orphan< ::bronzeshed::rpc::Digest>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeshed::rpc::Digest> Peer::SyncParams::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::Digest>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::SyncResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3830,6 +3969,98 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::PushParams::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushParams::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Reader Peer::PushParams::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Builder Peer::PushParams::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Peer::PushParams::Builder::setMembers( ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>::Builder Peer::PushParams::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PushParams::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>> Peer::PushParams::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::MemberMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::PushParams::Reader::hasLeaveMarks() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushParams::Builder::hasLeaveMarks() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Reader Peer::PushParams::Reader::getLeaveMarks() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Builder Peer::PushParams::Builder::getLeaveMarks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Peer::PushParams::Builder::setLeaveMarks( ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Builder Peer::PushParams::Builder::initLeaveMarks(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Peer::PushParams::Builder::adoptLeaveMarks(
+    ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>> Peer::PushParams::Builder::disownLeaveMarks() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline Control::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Control::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Control::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Control::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Control::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::bronzeshed::rpc::Control::Client& Control::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::bronzeshed::rpc::Control::Client& Control::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
 inline bool HeaderMessage::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/src/rpc/controlservice.cpp
@@ -0,0 +1,88 @@
+#include "rpc/controlservice.h"
+
+#include "rpc/conversion.h"
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchLimit{1000};
+constexpr auto PollPeriod = 20 * kj::MILLISECONDS;
+
+EntryStatus readStatus(rpc::EntryReport::Reader report)
+{
+    EntryStatus status;
+    status.incarnation = Incarnation(report.getIncarnation());
+    status.callerEndpoint = readEndpoint(report.getCallerEndpoint());
+    status.ledgerEndpoint = readEndpoint(report.getLedgerEndpoint());
+    status.leaving = report.getLeaving();
+    status.configVersionInForce = ConfigVersion(report.getConfigVersionInForce());
+    return status;
+}
+
+} // namespace
+
+ControlService::ControlService(ControlStateSource &source, PeerHandler &peers,
+                               ControlCounters &counters, kj::Timer &timer,
+                               std::function<void()> entryFound)
+    : source(source)
+    , peers(peers)
+    , counters(counters)
+    , timer(timer)
+    , entryFound(std::move(entryFound))
+{
+}
+
+kj::Promise<void> ControlService::watchState(WatchStateContext context)
+{
+    this->entryFound();
+    this->source.entryReported(readStatus(context.getParams().getReport()));
+    // The wait ends with the connection instead of going on for an entry that is gone.
+    context.allowCancellation();
+    return this->waitForChange(context, std::chrono::steady_clock::now() + WatchLimit);
+}
+
+kj::Promise<void> ControlService::waitForChange(WatchStateContext context, TimePoint limit)
+{
+    const std::uint64_t known = context.getParams().getKnownSequence();
+    const bool changed = this->source.currentSequence() != known;
+    if (changed || std::chrono::steady_clock::now() >= limit) {
+        const ControlState state = this->source.currentState();
+        auto message = context.getResults().initState();
+        if (changed) {
+            writeControlState(message, state);
+        } else {
+            message.setConfirmedAgeMs(ageToMessage(state.confirmedAge));
+        }
+        return kj::READY_NOW;
+    }
+    return this->timer.afterDelay(PollPeriod).then([this, context, limit]() mutable {
+        return this->waitForChange(context, limit);
+    });
+}
+
+kj::Promise<void> ControlService::exchange(ExchangeContext context)
+{
+    this->counters.count(ControlMessage::ExchangeReceived);
+    const PeerDigest theirs = readDigest(context.getParams().getDigest());
+    writeDigest(context.getResults().initDigest(), this->peers.exchange(theirs));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::sync(SyncContext context)
+{
+    this->counters.count(ControlMessage::SyncReceived);
+    const auto params = context.getParams();
+    const PeerDigest theirs = readDigest(params.getDigest());
+    writeUpdate(context.getResults(), this->peers.sync(readUpdate(params), theirs));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> ControlService::push(PushContext context)
+{
+    this->counters.count(ControlMessage::PushReceived);
+    this->peers.push(readUpdate(context.getParams()));
+    return kj::READY_NOW;
+}
+
+} // namespace bronzeshed
--- a/src/rpc/conversion.cpp
+++ b/src/rpc/conversion.cpp
@@ -1,5 +1,8 @@
 #include "rpc/conversion.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace bronzeshed {
 
 namespace {
@@ -100,14 +103,43 @@
     return upstream;
 }
 
+std::uint32_t ageToMessage(Duration age)
+{
+    // A state that was never confirmed has the greatest age; cut off, it must not look fresh.
+    constexpr std::int64_t Limit = std::numeric_limits<std::uint32_t>::max();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, Limit));
+}
+
+void writeDigest(rpc::Digest::Builder message, const PeerDigest &digest)
+{
+    message.setConfigVersion(digest.configVersion.value());
+    message.setMembershipHash(digest.membershipHash);
+    message.setLeaveMarksHash(digest.leaveMarksHash);
+    if (!digest.sender.id.isEmpty()) {
+        writeMember(message.initSender(), digest.sender);
+    }
+}
+
+PeerDigest readDigest(rpc::Digest::Reader message)
+{
+    PeerDigest digest;
+    digest.configVersion = ConfigVersion(message.getConfigVersion());
+    digest.membershipHash = message.getMembershipHash();
+    digest.leaveMarksHash = message.getLeaveMarksHash();
+    if (message.hasSender()) {
+        digest.sender = readMember(message.getSender());
+    }
+    return digest;
+}
+
 void writeControlState(rpc::ControlStateMessage::Builder message, const ControlState &state)
 {
     message.setChanged(true);
     message.setSequence(state.sequence);
     message.setConfigVersion(state.configVersion.value());
     message.setDeclarationText(state.declarationText);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.confirmedAge);
-    message.setConfirmedAgeMs(static_cast<std::uint32_t>(age.count()));
+    message.setConfirmedAgeMs(ageToMessage(state.confirmedAge));
     auto upstreams = message.initUpstreams(static_cast<unsigned>(state.upstreams.size()));
     for (unsigned i = 0; i < upstreams.size(); ++i) {
         writeUpstream(upstreams[i], state.upstreams[i]);
--- /dev/null
+++ b/src/rpc/peerclient.h
@@ -0,0 +1,39 @@
+#ifndef BRONZESHED_RPC_PEERCLIENT_H
+#define BRONZESHED_RPC_PEERCLIENT_H
+
+#include "base/wakeup.h"
+#include "rpc/controlcounters.h"
+#include "rpc/peerports.h"
+
+#include <atomic>
+#include <thread>
+
+namespace bronzeshed {
+
+/**
+ * Calls other agents on a thread of its own: compares digests every second and pushes news as soon
+ * as @p newsWakeup is notified.
+ */
+class PeerClient
+{
+public:
+    PeerClient(GossipSource &source, Wakeup &newsWakeup, ControlCounters &counters);
+    ~PeerClient();
+    PeerClient(const PeerClient &) = delete;
+    PeerClient &operator=(const PeerClient &) = delete;
+
+    void stop();
+
+private:
+    void run();
+
+    GossipSource &source;
+    Wakeup &newsWakeup;
+    ControlCounters &counters;
+    std::atomic<bool> stopping{false};
+    std::thread thread;
+};
+
+} // namespace bronzeshed
+
+#endif
