--- a/src/rpc/gossiploop.cpp
+++ b/src/rpc/gossiploop.cpp
@@ -100,7 +100,7 @@
 kj::Promise<void> GossipLoop::exchange(const Endpoint &peer, const Connection &connection)
 {
     this->counters.count(ControlMessage::ExchangeSent);
-    auto request = connection->client.bootstrap().castAs<rpc::Peer>().exchangeRequest();
+    auto request = connection->peer.exchangeRequest();
     writeDigest(request.initDigest(), this->source.digest());
     const TimePoint sentAt = std::chrono::steady_clock::now();
     auto answered = request.send().then([](capnp::Response<rpc::Peer::ExchangeResults> &&response) {
@@ -120,7 +120,7 @@
                                    const PeerDigest &theirs, TimePoint sentAt)
 {
     this->counters.count(ControlMessage::SyncSent);
-    auto request = connection->client.bootstrap().castAs<rpc::Peer>().syncRequest();
+    auto request = connection->peer.syncRequest();
     writeUpdate<rpc::Peer::SyncParams::Builder>(request, this->source.updateFor(theirs));
     PeerDigest digest = this->source.digest();
     digest.sender = {};
@@ -138,7 +138,7 @@
 kj::Promise<void> GossipLoop::push(const Connection &connection, const PeerUpdate &news)
 {
     this->counters.count(ControlMessage::PushSent);
-    auto request = connection->client.bootstrap().castAs<rpc::Peer>().pushRequest();
+    auto request = connection->peer.pushRequest();
     writeUpdate<rpc::Peer::PushParams::Builder>(request, news);
     return this->timer.timeoutAfter(CallTimeout, request.send().ignoreResult());
 }
--- a/src/rpc/peerconnections.h
+++ b/src/rpc/peerconnections.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/settings.h"
+#include "rpc/control.capnp.h"
 #include "rpc/countingstream.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -17,11 +18,14 @@
     PeerConnection(kj::Own<kj::AsyncIoStream> connected, ControlCounters &counters)
         : stream(kj::mv(connected), counters)
         , client(this->stream)
+        , peer(this->client.bootstrap().castAs<rpc::Peer>())
     {
     }
 
     CountingStream stream;
     capnp::TwoPartyClient client;
+    /** Taken once: a bootstrap call on a connection that has broken ends the process. */
+    rpc::Peer::Client peer;
     TimePoint lastUsed;
     bool isNew = true; ///< no call was answered on it yet
 };
--- /dev/null
+++ b/tests/membership/membershiptabletest.cpp
@@ -0,0 +1,137 @@
+#include "membership/membershiptable.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+Member makeMember(const std::string &id, std::uint64_t incarnation, std::uint64_t counter,
+                  MemberState state)
+{
+    Member member;
+    member.id = InstanceId(id);
+    member.incarnation = Incarnation(incarnation);
+    member.counter = counter;
+    member.state = state;
+    member.callerEndpoint = {"10.0.0.1", static_cast<std::uint16_t>(1000 + id.back())};
+    member.agentEndpoint = {"10.0.0.1", static_cast<std::uint16_t>(2000 + id.back())};
+    return member;
+}
+
+struct Fixture
+{
+    ManualClock clock;
+    MembershipTable table{clock};
+
+    MemberState stateOf(const std::string &id) { return this->table.find(InstanceId(id))->state; }
+    void pass(Duration time)
+    {
+        for (Duration passed{}; passed < time; passed += 500ms) {
+            this->clock.advance(500ms);
+            this->table.tick();
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(membership_table, Fixture)
+
+// Guards against a wrong order of precedence, by which an old record would undo a newer one.
+BOOST_AUTO_TEST_CASE(keeps_the_record_that_takes_precedence)
+{
+    const std::vector<Member> rising{
+        makeMember("b", 1, 0, MemberState::Alive),   makeMember("b", 1, 0, MemberState::Suspect),
+        makeMember("b", 1, 0, MemberState::Leaving), makeMember("b", 1, 0, MemberState::Dead),
+        makeMember("b", 1, 1, MemberState::Alive),   makeMember("b", 2, 0, MemberState::Alive),
+    };
+    for (std::size_t i = 0; i < rising.size(); ++i) {
+        this->table.merge({rising[i]});
+        for (std::size_t older = 0; older < i; ++older) {
+            this->table.merge({rising[older]});
+        }
+        BOOST_TEST((this->table.find(InstanceId("b")) == rising[i]), "record " << i);
+    }
+}
+
+// Guards against a silent member that stays in lookups, and one that is dropped too early.
+BOOST_AUTO_TEST_CASE(suspects_after_a_failed_call_and_declares_dead_after_3_s)
+{
+    this->table.merge({makeMember("b", 1, 0, MemberState::Alive)});
+    this->table.callFailed(makeMember("b", 1, 0, MemberState::Alive).agentEndpoint);
+    BOOST_TEST((this->stateOf("b") == MemberState::Suspect));
+    this->pass(2500ms);
+    BOOST_TEST((this->stateOf("b") == MemberState::Suspect));
+    this->pass(500ms);
+    BOOST_TEST((this->stateOf("b") == MemberState::Dead));
+}
+
+// Guards against a leaving member whose instance was lost and that is called for ever.
+BOOST_AUTO_TEST_CASE(declares_a_silent_leaving_member_dead)
+{
+    const Member leaving = makeMember("b", 1, 0, MemberState::Leaving);
+    this->table.merge({leaving});
+    this->table.callFailed(leaving.agentEndpoint);
+    this->pass(2s);
+    this->table.callAnswered(leaving.agentEndpoint);
+    this->pass(4s);
+    BOOST_TEST((this->stateOf("b") == MemberState::Leaving));
+    this->table.callFailed(leaving.agentEndpoint);
+    this->pass(3s);
+    BOOST_TEST((this->stateOf("b") == MemberState::Dead));
+}
+
+// Guards against a process that resumes after a freeze and declares its suspects dead at once.
+BOOST_AUTO_TEST_CASE(restarts_suspicions_after_a_gap_in_time)
+{
+    this->table.merge({makeMember("b", 1, 0, MemberState::Suspect)});
+    this->clock.advance(30s);
+    this->table.tick();
+    BOOST_TEST((this->stateOf("b") == MemberState::Suspect));
+}
+
+// Guards against a live member that others hold for dead.
+BOOST_AUTO_TEST_CASE(refutes_records_of_the_own_member)
+{
+    this->table.setSelf(makeMember("a", 5, 0, MemberState::Alive));
+    this->table.merge({makeMember("a", 5, 3, MemberState::Dead)});
+    BOOST_TEST(this->table.self()->counter == 4U);
+    BOOST_TEST((this->stateOf("a") == MemberState::Alive));
+    // A new agent of the same entry starts without a counter.
+    MembershipTable restarted(this->clock);
+    restarted.merge({makeMember("a", 5, 4, MemberState::Suspect)});
+    restarted.setSelf(makeMember("a", 5, 0, MemberState::Alive));
+    BOOST_TEST(restarted.self()->counter == 5U);
+}
+
+// Guards against two members at one address after an instance was replaced under another id.
+BOOST_AUTO_TEST_CASE(replaces_the_older_incarnation_at_an_address)
+{
+    Member newer = makeMember("c", 9, 0, MemberState::Alive);
+    newer.callerEndpoint = makeMember("b", 1, 0, MemberState::Alive).callerEndpoint;
+    this->table.merge({makeMember("b", 1, 0, MemberState::Alive), newer});
+    BOOST_TEST((this->stateOf("b") == MemberState::Dead));
+    MembershipTable other(this->clock);
+    other.merge({newer, makeMember("b", 1, 0, MemberState::Alive)});
+    BOOST_TEST(other.hash() == this->table.hash());
+}
+
+// Guards against unbounded memory and against dead members that come back from slower peers.
+BOOST_AUTO_TEST_CASE(forgets_dead_members)
+{
+    this->table.merge({makeMember("b", 1, 0, MemberState::Alive)});
+    const auto before = this->table.hash();
+    this->table.merge({makeMember("b", 1, 0, MemberState::Dead)});
+    BOOST_TEST(this->table.hash() != before);
+    this->pass(11min);
+    this->table.merge({makeMember("b", 1, 0, MemberState::Dead)});
+    BOOST_TEST(this->table.members().empty());
+    for (unsigned i = 0; i < 3000; ++i) {
+        this->table.merge({makeMember("m" + std::to_string(i), i + 1, 0, MemberState::Alive)});
+    }
+    BOOST_TEST(this->table.members().size() == MembershipLimits{}.maxMembers);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
