Test peer calls over sockets; keep a worker's pause when its step throws

GCC 12 assigns the variable of "pause = step()" although step throws. The new test of Worker found it.

--- a/src/agent/worker.cpp
+++ b/src/agent/worker.cpp
@@ -34,16 +34,21 @@
 void Worker::run()
 {
     while (!this->stopping.load()) {
-        Duration pause = PauseAfterError;
-        try {
-            pause = this->step();
-        } catch (const std::exception &error) {
-            LogLine("worker_step_failed", LogLevel::Error)
-                .add("worker", this->name)
-                .add("error", error.what());
-        }
-        this->wakeup.wait(pause);
+        this->wakeup.wait(this->runStep());
     }
 }
 
+// Apart from run(): with "pause = step()" in a try block, GCC 12 overwrites pause when step throws.
+Duration Worker::runStep()
+{
+    try {
+        return this->step();
+    } catch (const std::exception &error) {
+        LogLine("worker_step_failed", LogLevel::Error)
+            .add("worker", this->name)
+            .add("error", error.what());
+    }
+    return PauseAfterError;
+}
+
 } // namespace bronzeshed
--- a/src/agent/worker.h
+++ b/src/agent/worker.h
@@ -24,6 +24,7 @@
 
 private:
     void run();
+    Duration runStep();
 
     std::string name;
     std::function<Duration()> step;
--- a/src/rpc/gossiploop.cpp
+++ b/src/rpc/gossiploop.cpp
@@ -57,7 +57,7 @@
     }
 }
 
-kj::Promise<void> GossipLoop::callPeer(const Endpoint &peer, Work work)
+kj::Promise<void> GossipLoop::callPeer(const Endpoint &peer, const Work &work)
 {
     return this->tryCall(peer, work, true).catch_([this, peer](kj::Exception &&error) {
         this->counters.count(ControlMessage::PeerCallFailed);
--- a/src/rpc/gossiploop.h
+++ b/src/rpc/gossiploop.h
@@ -28,7 +28,7 @@
     using Work = std::function<kj::Promise<void>(const Connection &)>;
 
     /** Runs @p work on a connection to @p peer and reports a failure of the peer. */
-    kj::Promise<void> callPeer(const Endpoint &peer, Work work);
+    kj::Promise<void> callPeer(const Endpoint &peer, const Work &work);
     kj::Promise<void> tryCall(const Endpoint &peer, const Work &work, bool mayRetry);
     kj::Promise<void> exchange(const Endpoint &peer, const Connection &connection);
     kj::Promise<void> sync(const Endpoint &peer, const Connection &connection,
--- /dev/null
+++ b/tests/agent/peerrpctest.cpp
@@ -0,0 +1,141 @@
+#include "gossipcluster.h"
+
+#include "agent/worker.h"
+#include "rpc/agentserver.h"
+#include "rpc/peerclient.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using namespace bronzeshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An agent with its RPC server and client, but without its other threads. */
+struct RpcAgent
+{
+    explicit RpcAgent(unsigned index, std::uint16_t port = 0)
+        : agent(clock, index, index + 1)
+        , server({"127.0.0.1", port}, agent.state, agent.gossip, counters)
+    {
+        this->agent.state.setAgentEndpoint(this->server.localEndpoint());
+        this->agent.report();
+    }
+
+    void startClient(const Endpoint &seed)
+    {
+        InstanceSnapshot snapshot;
+        snapshot.agents = {seed};
+        this->agent.state.adoptInstances(snapshot);
+        this->client
+            = std::make_unique<PeerClient>(this->agent.gossip, this->agent.wakeup, this->counters);
+    }
+
+    std::uint64_t count(ControlMessage kind) const
+    {
+        return this->counters.totals().messages.at(static_cast<std::size_t>(kind));
+    }
+
+    SystemClock clock;
+    ControlCounters counters;
+    TestAgent agent;
+    AgentServer server;
+    std::unique_ptr<PeerClient> client;
+};
+
+/** Waits until @p condition holds. The limit only ends a test that has failed. */
+template<typename Condition>
+bool eventually(Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_rpc)
+
+// Guards against fields that are lost in messages, and against traffic that is not counted.
+BOOST_AUTO_TEST_CASE(agents_learn_from_each_other)
+{
+    RpcAgent first(0);
+    RpcAgent second(1);
+    ConfigRecord record = makeRecord(3);
+    record.declarationText = std::string(10000, 'x');
+    record.leaveMarks[UpstreamId("u")] = {2, true};
+    first.agent.state.adoptRecord(record);
+    second.startClient(first.server.localEndpoint());
+    BOOST_TEST(eventually([&] { return second.agent.state.record() == record; }));
+    BOOST_TEST((first.agent.state.members() == second.agent.state.members()));
+    BOOST_TEST(eventually([&] { return second.agent.state.currentState().confirmedAge < 6s; }));
+    second.agent.state.mergeMarks({{UpstreamId("v"), {1, true}}});
+    BOOST_TEST(eventually([&] { return first.agent.state.record().leaveMarks.size() == 2; }));
+    BOOST_TEST(second.count(ControlMessage::ExchangeSent) > 0U);
+    BOOST_TEST(first.count(ControlMessage::SyncReceived) > 0U);
+    BOOST_TEST(second.count(ControlMessage::PushSent) > 0U);
+    BOOST_TEST(first.counters.totals().bytesSent > 10000U);
+    BOOST_TEST(second.counters.totals().bytesReceived > 10000U);
+}
+
+// Guards against a call that waits for ever for a peer that accepts connections but is silent.
+BOOST_AUTO_TEST_CASE(a_silent_peer_becomes_suspect)
+{
+    const FileDescriptor silent(::socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::bind(silent.get(), reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
+                  && ::listen(silent.get(), 8) == 0);
+    socklen_t size = sizeof address;
+    ::getsockname(silent.get(), reinterpret_cast<sockaddr *>(&address), &size);
+    Member member;
+    member.id = InstanceId("silent");
+    member.agentEndpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    RpcAgent agent(0);
+    agent.agent.state.mergeUpdate({{member}, {}, {}}, false);
+    agent.startClient(member.agentEndpoint);
+    BOOST_TEST(
+        eventually([&] { return agent.agent.state.others().at(0).state == MemberState::Suspect; }));
+}
+
+// Guards against a peer that is suspected, or never called again, after it was restarted.
+BOOST_AUTO_TEST_CASE(a_broken_connection_is_replaced)
+{
+    RpcAgent caller(0);
+    auto peer = std::make_unique<RpcAgent>(1);
+    const Endpoint endpoint = peer->server.localEndpoint();
+    caller.startClient(endpoint);
+    BOOST_TEST(eventually([&] { return caller.agent.state.others().size() == 1; }));
+    peer.reset();
+    peer = std::make_unique<RpcAgent>(1, endpoint.port);
+    BOOST_TEST(eventually([&] { return peer->count(ControlMessage::ExchangeReceived) > 0; }));
+    BOOST_TEST(eventually([&] {
+        const Member known = caller.agent.state.others().at(0);
+        return known.state == MemberState::Alive && caller.agent.state.members().size() == 2;
+    }));
+}
+
+// Guards against a thread that ends with the first exception.
+BOOST_AUTO_TEST_CASE(a_worker_survives_exceptions)
+{
+    std::promise<void> repeated;
+    unsigned steps = 0;
+    Worker worker("test", [&]() -> Duration {
+        if (++steps == 2) {
+            repeated.set_value();
+        }
+        throw std::runtime_error("fault of the test");
+    });
+    BOOST_TEST((repeated.get_future().wait_for(20s) == std::future_status::ready));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
