--- a/src/membership/domainorder.cpp
+++ b/src/membership/domainorder.cpp
@@ -42,7 +42,10 @@
         (member.region == region ? local : remote).push_back(member);
     }
     const std::string key = service.value() + "|" + region.value();
-    return rendezvousOrder(key, local.empty() ? std::move(remote) : std::move(local));
+    std::vector<Member> order = rendezvousOrder(key, std::move(local));
+    const std::vector<Member> others = rendezvousOrder(key, std::move(remote));
+    order.insert(order.end(), others.begin(), others.end());
+    return order;
 }
 
 } // namespace bronzeshed
--- a/src/membership/domainorder.h
+++ b/src/membership/domainorder.h
@@ -19,8 +19,8 @@
 std::vector<Member> rendezvousOrder(std::string_view key, std::vector<Member> members);
 
 /**
- * Entries that serve a dispatch domain: live members of the region, the owner first. Other regions'
- * members are the answer if the region has none.
+ * Entries that serve a dispatch domain: live members of the region, the owner first. The other
+ * regions' members follow, for callers that reach none of their own region.
  */
 std::vector<Member> domainEntries(const ServiceName &service, const RegionName &region,
                                   const std::vector<Member> &members);
--- a/tests/processes/membershipprocesses.h
+++ b/tests/processes/membershipprocesses.h
@@ -1,39 +1,17 @@
 #ifndef BRONZESHED_TESTS_PROCESSES_MEMBERSHIPPROCESSES_H
 #define BRONZESHED_TESTS_PROCESSES_MEMBERSHIPPROCESSES_H
 
-#include "base/settings.h"
+#include "childprocess.h"
 
-#include <functional>
 #include <memory>
 #include <set>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace bronzeshed {
 
-/** A binary of ours that runs until the end of this object. */
-class ChildProcess
-{
-public:
-    /** Starts the binary and waits until it listens. */
-    ChildProcess(const std::string &binary, const std::vector<std::string> &arguments);
-    ~ChildProcess();
-    ChildProcess(const ChildProcess &) = delete;
-    ChildProcess &operator=(const ChildProcess &) = delete;
-
-    void signal(int number) const;
-    /** Ends the process at once. */
-    void kill();
-    const Endpoint &endpoint() const { return this->address; }
-
-private:
-    pid_t pid = -1;
-    Endpoint address;
-};
-
 /** Agent and entry of one instance. */
-struct TestInstance
+struct MemberInstance
 {
     std::unique_ptr<ChildProcess> agent;
     std::unique_ptr<ChildProcess> entry;
@@ -46,9 +24,9 @@
 };
 
 /** Platform stand-ins with a configuration and the instances of one deployment. */
-struct TestDeployment
+struct MembershipDeployment
 {
-    TestDeployment();
+    MembershipDeployment();
 
     /** Starts an instance in a region of its own, so that lookups show which members it knows. */
     void startInstance(const std::string &region);
@@ -58,12 +36,9 @@
 
     ChildProcess store;
     ChildProcess list; ///< apart from the store, so that one can fail without the other
-    std::vector<TestInstance> instances;
+    std::vector<MemberInstance> instances;
 };
 
-/** Waits until @p condition holds. The limit only ends a test that has failed. */
-bool eventually(const std::function<bool()> &condition);
-
 } // namespace bronzeshed
 
 #endif
--- a/tests/processes/membershiptest.cpp
+++ b/tests/processes/membershiptest.cpp
@@ -23,12 +23,12 @@
         }
         for (unsigned i = 0; i < Size; ++i) {
             BOOST_REQUIRE_MESSAGE(
-                eventually([&] { return this->instance(i).lookup().size() == Size; }),
+                waitFor([&] { return this->instance(i).lookup().size() == Size; }),
                 "instance " << i << " does not know all others");
         }
     }
 
-    TestInstance &instance(unsigned index) { return this->deployment.instances[index]; }
+    MemberInstance &instance(unsigned index) { return this->deployment.instances[index]; }
 
     /** Whether the lookups of all instances from @p first on agree on naming @p address. */
     bool allName(unsigned first, const std::string &address, bool named)
@@ -42,7 +42,7 @@
         return true;
     }
 
-    TestDeployment deployment;
+    MembershipDeployment deployment;
 };
 
 } // namespace
@@ -55,7 +55,7 @@
     const std::string lost = this->instance(0).entryAddress();
     this->instance(0).agent->kill();
     this->instance(0).entry->kill();
-    BOOST_TEST(eventually([&] { return this->allName(1, lost, false); }));
+    BOOST_TEST(waitFor([&] { return this->allName(1, lost, false); }));
     for (unsigned i = 1; i < Size; ++i) {
         BOOST_TEST(this->allName(1, this->instance(i).entryAddress(), true));
     }
@@ -65,7 +65,7 @@
 BOOST_AUTO_TEST_CASE(a_leaving_entry_vanishes_from_lookups)
 {
     this->instance(1).entry->signal(SIGTERM);
-    BOOST_TEST(eventually([&] {
+    BOOST_TEST(waitFor([&] {
         return this->allName(2, this->instance(1).entryAddress(), false)
             && !this->instance(0).lookup().contains(this->instance(1).entryAddress());
     }));
@@ -75,9 +75,8 @@
 BOOST_AUTO_TEST_CASE(a_stopped_agent_leaves_its_entry_running)
 {
     this->instance(1).agent->signal(SIGTERM);
-    BOOST_TEST(eventually([&] { return this->instance(1).lookup().empty(); }));
-    BOOST_TEST(
-        eventually([&] { return this->allName(2, this->instance(1).entryAddress(), false); }));
+    BOOST_TEST(waitFor([&] { return this->instance(1).lookup().empty(); }));
+    BOOST_TEST(waitFor([&] { return this->allName(2, this->instance(1).entryAddress(), false); }));
 }
 
 // Guards against a new instance that cannot serve during an outage of the store.
@@ -85,8 +84,8 @@
 {
     this->deployment.store.kill();
     this->deployment.startInstance("f");
-    const TestInstance &added = this->deployment.instances.back();
-    BOOST_TEST(eventually([&] { return added.lookup().size() == Size + 1; }));
+    const MemberInstance &added = this->deployment.instances.back();
+    BOOST_TEST(waitFor([&] { return added.lookup().size() == Size + 1; }));
     BOOST_TEST(added.configVersion() == 1);
 }
 
@@ -94,24 +93,24 @@
 // stays dead at the others.
 BOOST_AUTO_TEST_CASE(a_frozen_instance_confirms_its_state_and_comes_back)
 {
-    const TestInstance &frozen = this->instance(2);
+    const MemberInstance &frozen = this->instance(2);
     const auto stopped = std::chrono::steady_clock::now();
     frozen.agent->signal(SIGSTOP);
     frozen.entry->signal(SIGSTOP);
     this->deployment.putVersion(2);
-    BOOST_REQUIRE(eventually([&] {
+    BOOST_REQUIRE(waitFor([&] {
         return this->allName(3, frozen.entryAddress(), false)
             && this->instance(0).configVersion() == 2;
     }));
     // The guarantee begins when the state of before is older than the freshness limit of 6 s.
-    BOOST_REQUIRE(eventually(
+    BOOST_REQUIRE(waitFor(
         [&] { return std::chrono::steady_clock::now() - stopped > std::chrono::seconds(8); }));
     frozen.entry->signal(SIGCONT);
     frozen.agent->signal(SIGCONT);
     std::int64_t version = 0;
-    BOOST_TEST(eventually([&] { return (version = frozen.configVersion()) != 0; }));
+    BOOST_TEST(waitFor([&] { return (version = frozen.configVersion()) != 0; }));
     BOOST_TEST(version == 2);
-    BOOST_TEST(eventually([&] { return this->allName(0, frozen.entryAddress(), true); }));
+    BOOST_TEST(waitFor([&] { return this->allName(0, frozen.entryAddress(), true); }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
