--- a/src/ctl/ctlreport.cpp
+++ b/src/ctl/ctlreport.cpp
@@ -51,7 +51,7 @@
         return "accepted as version " + std::to_string(reply.version);
     case ChangeReply::Outcome::Conflict:
         return "conflict: version " + std::to_string(reply.version) + " by '" + reply.operatorName
-            + "' came first; " + reply.message;
+            + "' came first; compare with 'diff' and apply again";
     case ChangeReply::Outcome::Failed:
         return "failed: " + reply.message;
     case ChangeReply::Outcome::InForceNotRecorded:
