--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -60,7 +60,7 @@
         this->requireNewest(view.newest);
         ConfigRecord next = ConfigHistory::withDeclaration(view.newest, this->nextVersion(view),
                                                            declarationText, change);
-        this->archive(next);
+        this->shorten(next);
         return this->commit(view.revision, next);
     } catch (const UnavailableError &error) {
         return StoreUnavailable{error.what()};
@@ -135,7 +135,7 @@
         this->requireNewest(own);
         const ConfigChange change = this->makeChange(RestoreOperator, "restore", {});
         ConfigRecord next = ConfigHistory::restored(own, view.stored, change);
-        this->archive(next);
+        this->shorten(next);
         const ChangeResult result = this->commit(view.revision, next);
         LogLine("config_restored", LogLevel::Warning)
             .add("stored_version", view.stored.version.value())
@@ -202,12 +202,24 @@
                                       this->fleetVersions(false));
 }
 
+/** Makes the record fit into one value of the store. */
+void ConfigKeeper::shorten(ConfigRecord &record)
+{
+    std::set<UpstreamId> listed;
+    for (const UpstreamInfo &upstream : this->agent.upstreams()) {
+        listed.insert(upstream.id);
+    }
+    ConfigHistory::pruneLeaveMarks(record, listed);
+    this->archive(record);
+    ConfigHistory::checkSize(record);
+}
+
+/** Moves the oldest audit entries to pages while there are too many. */
 void ConfigKeeper::archive(ConfigRecord &record)
 {
     for (int attempt = 0; attempt < MaxPageAttempts; ++attempt) {
         auto page = ConfigHistory::pageToArchive(record);
         if (!page) {
-            ConfigHistory::checkSize(record);
             return;
         }
         if (this->writePage(*page)) {
@@ -305,7 +317,7 @@
         this->requireNewest(view.newest);
         ConfigRecord next = ConfigHistory::withLeaveMarks(view.newest, this->nextVersion(view),
                                                           mark.marks, mark.change);
-        this->archive(next);
+        this->shorten(next);
         return this->commit(view.revision, next);
     } catch (const Error &error) {
         // The mark is in force already, so it waits whatever the reason.
--- a/src/agent/configkeeper.h
+++ b/src/agent/configkeeper.h
@@ -68,6 +68,7 @@
     /** @throws UnavailableError if a live member has a version that is neither here nor stored */
     void requireNewest(const ConfigRecord &newest);
     ConfigVersion nextVersion(const View &view);
+    void shorten(ConfigRecord &record);
     void archive(ConfigRecord &record);
     bool writePage(const AuditPage &page);
     ChangeResult commit(std::uint64_t revision, const ConfigRecord &record);
--- a/tests/config/confighistorytest.cpp
+++ b/tests/config/confighistorytest.cpp
@@ -117,6 +117,23 @@
     BOOST_CHECK_THROW(ConfigHistory::checkSize(record), Error);
 }
 
+// Guards against marks of replaced upstreams that fill the record until no change is accepted.
+BOOST_AUTO_TEST_CASE(marks_of_unlisted_upstreams_are_pruned_beyond_the_limit)
+{
+    ConfigRecord record;
+    for (std::size_t i = 0; i < ConfigHistory::MaxLeaveMarks; ++i) {
+        record.leaveMarks[UpstreamId("old-" + std::to_string(i))] = {1, true};
+    }
+    const UpstreamId listed(std::string("almanac-0"));
+    ConfigHistory::pruneLeaveMarks(record, {listed});
+    BOOST_TEST(record.leaveMarks.size() == ConfigHistory::MaxLeaveMarks);
+    record.leaveMarks[listed] = {1, true};
+    ConfigHistory::pruneLeaveMarks(record, {});
+    BOOST_TEST(record.leaveMarks.size() == ConfigHistory::MaxLeaveMarks + 1);
+    ConfigHistory::pruneLeaveMarks(record, {listed});
+    BOOST_TEST((record.leaveMarks == LeaveMarks{{listed, {1, true}}}));
+}
+
 // Guards against losing changes that were accepted on a store that had fallen back.
 BOOST_AUTO_TEST_CASE(restoring_keeps_entries_of_both_records)
 {
