Complete the dispatcher

It had no admission by deadline, no hedges, no budgets, no ejection, no slow start and no preference for the own region.

Change: the parts are one class a file: call queue, queue estimate, service time estimate, upstream health, upstream set, call budget, probe budget and hedge timer; Dispatcher joins them. The baseline policies no longer wait for a free slot; the policy of the entry is FreeSlotPolicy.

--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "entry/callresponse.h"
 #include "entry/lookup.h"
+#include "routing/freeslotpolicy.h"
 
 namespace bronzeshed {
 
@@ -31,8 +32,8 @@
     , control(control)
     , upstreams(upstreams)
     , random(makeSystemRandom())
-    , dispatcher(this->clock, this->random, this->timers, *this,
-                 std::make_unique<LeastOutstandingPolicy>(), options.dispatcher)
+    , dispatcher(this->clock, this->random, this->timers, *this, std::make_unique<FreeSlotPolicy>(),
+                 options.dispatcher)
 {
 }
 
--- /dev/null
+++ b/src/routing/callqueue.cpp
@@ -0,0 +1,100 @@
+#include "routing/callqueue.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace bronzeshed {
+
+namespace {
+
+/** Weight of a start in the recent shares of the classes, 1 in 200. */
+constexpr double ShareWeight = 1.0 / 200;
+
+} // namespace
+
+void CallQueue::push(const ClassName &className, TimePoint deadline, CallId id)
+{
+    ClassQueue &queue = this->classes[className];
+    if (queue.calls.empty()) {
+        // A class earns nothing while none of its calls wait.
+        queue.starts = std::max(queue.starts, this->lastStart);
+    }
+    queue.calls.emplace(deadline, id);
+    ++this->waiting;
+}
+
+void CallQueue::erase(const ClassName &className, TimePoint deadline, CallId id)
+{
+    const auto found = this->classes.find(className);
+    if (found != this->classes.end()) {
+        this->waiting -= found->second.calls.erase(Key(deadline, id));
+    }
+}
+
+void CallQueue::start(const ClassName &className, TimePoint deadline, CallId id)
+{
+    this->erase(className, deadline, id);
+    for (auto &[name, queue] : this->classes) {
+        queue.share *= 1 - ShareWeight;
+    }
+    ClassQueue &started = this->classes[className];
+    started.share += ShareWeight;
+    this->lastStart = ++started.starts;
+}
+
+std::optional<CallId> CallQueue::next() const
+{
+    const ClassQueue *earliest = nullptr;
+    const ClassQueue *behind = nullptr;
+    for (const auto &[name, queue] : this->classes) {
+        if (queue.calls.empty()) {
+            continue;
+        }
+        if (earliest == nullptr || *queue.calls.begin() < *earliest->calls.begin()) {
+            earliest = &queue;
+        }
+        if (behind == nullptr || queue.starts < behind->starts) {
+            behind = &queue;
+        }
+    }
+    if (earliest == nullptr) {
+        return std::nullopt;
+    }
+    const bool unfair = earliest->starts - behind->starts >= MaxLead;
+    return (unfair ? behind : earliest)->calls.begin()->second;
+}
+
+std::size_t CallQueue::earlierCalls(const ClassQueue &queue, TimePoint deadline)
+{
+    // New calls mostly have the latest deadline, so counting from the end is short.
+    const auto later
+        = queue.calls.upper_bound(Key(deadline, CallId(std::numeric_limits<std::uint64_t>::max())));
+    return queue.calls.size() - static_cast<std::size_t>(std::distance(later, queue.calls.end()));
+}
+
+std::size_t CallQueue::otherCallsAhead(const ClassName &className, std::size_t ownAhead,
+                                       TimePoint deadline) const
+{
+    std::size_t ahead = 0;
+    for (const auto &[name, queue] : this->classes) {
+        if (name != className) {
+            ahead += std::min<std::size_t>(earlierCalls(queue, deadline), ownAhead + MaxLead);
+        }
+    }
+    return ahead;
+}
+
+std::size_t CallQueue::callsAhead(const ClassName &className, TimePoint deadline) const
+{
+    const auto own = this->classes.find(className);
+    if (own == this->classes.end()) {
+        return this->otherCallsAhead(className, 0, deadline);
+    }
+    const std::size_t ownAhead = earlierCalls(own->second, deadline);
+    const std::size_t ahead = ownAhead + this->otherCallsAhead(className, ownAhead, deadline);
+    const double equalShare = 1.0 / static_cast<double>(this->classes.size());
+    const double share = std::max(own->second.share, equalShare);
+    return static_cast<std::size_t>(static_cast<double>(ahead) / share);
+}
+
+} // namespace bronzeshed
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -1,25 +1,45 @@
 #include "routing/dispatcher.h"
 
+#include "routing/opencall.h"
+#include "routing/queueestimate.h"
+
+#include <algorithm>
+
 namespace bronzeshed {
 
-struct Dispatcher::Call
+namespace {
+
+constexpr unsigned MaxAttempts = 3;
+constexpr double RetryShare = 0.1; ///< of the calls of a class
+constexpr double HedgeShare = 0.05; ///< of the calls of a class
+/** One permit lets a rarely called class survive a connection that its upstream closed. */
+constexpr double InitialRetries = 1;
+constexpr double HedgeQuantile = 0.95;
+
+std::size_t countSlots(const std::vector<UpstreamView *> &views)
 {
-    CallId id;
-    ClassTarget target;
-    TimePoint deadline;
-    TimerId expiry;
-    unsigned attempts = 0;
-    bool mayHaveRun = false; ///< an attempt ended with an unknown effect
-    std::optional<AttemptId> running;
-    bool queued = false;
-    Reason lastReason = Reason::NoUpstream;
-};
+    std::size_t slots = 0;
+    for (const UpstreamView *view : views) {
+        slots += view->slots;
+    }
+    return slots;
+}
 
-struct Dispatcher::Attempt
+/** Keeps the views that fulfil @p wanted, or all views if none does. */
+template<typename Condition>
+void prefer(std::vector<UpstreamView *> &views, Condition wanted)
 {
-    CallId call;
-    UpstreamId upstream;
-};
+    if (std::any_of(views.begin(), views.end(), wanted)) {
+        std::erase_if(views, [&](UpstreamView *view) { return !wanted(view); });
+    }
+}
+
+bool wasTried(const OpenCall &call, const UpstreamView &view)
+{
+    return std::find(call.tried.begin(), call.tried.end(), view.info.id) != call.tried.end();
+}
+
+} // namespace
 
 Dispatcher::Dispatcher(const Clock &clock, Random &random, TimerService &timers,
                        DispatcherOutput &output, std::unique_ptr<SelectionPolicy> policy,
@@ -30,36 +50,43 @@
     , output(output)
     , policy(std::move(policy))
     , options(std::move(options))
+    , upstreams(clock, timers, output, this->options,
+                [this](const ServiceName &service) { this->startWaiting(service); })
+    , hedgeTimer(timers, [this](CallId id) { this->hedge(id); })
 {
 }
 
-Dispatcher::~Dispatcher() = default;
+Dispatcher::~Dispatcher()
+{
+    for (const auto &[id, call] : this->calls) {
+        this->timers.cancel(call->expiry);
+    }
+}
 
 void Dispatcher::update(const Declaration &newDeclaration,
                         const std::vector<UpstreamInfo> &newUpstreams)
 {
     this->declaration = newDeclaration;
-    std::set<UpstreamId> listed;
-    for (const UpstreamInfo &info : newUpstreams) {
-        listed.insert(info.id);
-        UpstreamView &view = this->upstreams[info.id];
-        if (view.info.endpoint != info.endpoint) {
-            // A replaced server under the same id starts without the history of the old one.
-            view.draining = false;
-            view.serviceTime.reset();
+    this->repeatableServices.clear();
+    for (const auto &[name, target] : this->declaration.classes) {
+        if (target.repeatable) {
+            this->repeatableServices.insert(target.service);
         }
-        view.info = info;
-        view.slots = this->options.slotsPerUpstream;
-        view.sameZone = info.zone == this->options.zone;
-        view.sameRegion = info.region == this->options.region;
     }
-    std::erase_if(this->upstreams, [&](const auto &entry) {
-        return !listed.contains(entry.first) && entry.second.outstanding == 0;
-    });
-    for (auto &[id, view] : this->upstreams) {
-        view.info.leaving = view.info.leaving || !listed.contains(id);
+    this->upstreams.update(newUpstreams, this->declaration.measuring);
+    for (const auto &[service, state] : this->services) {
+        this->startWaiting(service);
     }
-    for (const ServiceName &service : this->declaration.services) {
+}
+
+void Dispatcher::setDispatchAllowed(bool allowed)
+{
+    if (allowed == this->dispatchAllowed) {
+        return;
+    }
+    this->dispatchAllowed = allowed;
+    this->upstreams.setProbingAllowed(allowed);
+    for (const auto &[service, state] : this->services) {
         this->startWaiting(service);
     }
 }
@@ -73,66 +100,171 @@
                                 configured ? Reason::UnknownClass : Reason::NoConfiguration, {});
         return;
     }
-    if (this->calls.size() >= this->options.maxCalls) {
-        this->output.finishCall(request.id, Outcome::NotRun, Reason::QueueFull, {});
+    const Reason refusal = this->checkLoad(target->second, request);
+    if (refusal != Reason::None) {
+        this->output.finishCall(request.id, Outcome::NotRun, refusal, {});
         return;
     }
-    auto owned = std::make_unique<Call>();
-    Call &call = *owned;
+    auto owned = std::make_unique<OpenCall>();
+    OpenCall &call = *owned;
     call.id = request.id;
     call.target = target->second;
     call.deadline = this->clock.now() + request.timeLeft;
     call.expiry
         = this->timers.once(call.deadline, [this, id = call.id](TimePoint) { this->expire(id); });
     this->calls.emplace(call.id, std::move(owned));
+    this->enqueue(call);
+    this->startWaiting(target->second.service);
+}
+
+Reason Dispatcher::checkLoad(const ClassTarget &target, const CallRequest &request)
+{
+    if (this->calls.size() >= this->options.maxCalls) {
+        return Reason::QueueFull;
+    }
+    const Service &service = this->services[target.service];
+    const QueueEstimate estimate(service.queue, service.times,
+                                 countSlots(this->usableUpstreams(target.service)));
+    const Reason late = estimate.refusal(target, request.timeLeft, this->clock.now());
+    if (late != Reason::None) {
+        return late;
+    }
+    return this->checkRepeat(target, request.attempt) ? Reason::None : Reason::Overloaded;
+}
+
+bool Dispatcher::checkRepeat(const ClassTarget &target, unsigned attempt)
+{
+    ClassBudgets &budget = this->budgetsOf(target.name);
+    if (attempt == 0) {
+        budget.retries.earn();
+        budget.hedges.earn();
+        return true;
+    }
+    if (budget.retries.trySpend()) {
+        return true;
+    }
+    // Callers of a failed entry all arrive with a repeat. They do no harm on free slots.
+    const auto views = this->usableUpstreams(target.service);
+    return this->services[target.service].queue.isEmpty()
+        && std::any_of(views.begin(), views.end(),
+                       [](const UpstreamView *view) { return view->hasFreeSlot(); });
+}
+
+Dispatcher::ClassBudgets &Dispatcher::budgetsOf(const ClassName &name)
+{
+    const ClassBudgets initial{CallBudget(RetryShare, InitialRetries), CallBudget(HedgeShare, 0)};
+    return this->budgets.try_emplace(name, initial).first->second;
+}
+
+void Dispatcher::enqueue(OpenCall &call)
+{
     call.queued = true;
-    this->queues[call.target.service].emplace(call.deadline, call.id);
-    this->startWaiting(call.target.service);
+    this->services[call.target.service].queue.push(call.target.name, call.deadline, call.id);
 }
 
-std::vector<UpstreamView *> Dispatcher::candidates(const ServiceName &service)
+std::vector<UpstreamView *> Dispatcher::usableUpstreams(const ServiceName &service)
 {
-    std::vector<UpstreamView *> result;
-    for (auto &[id, view] : this->upstreams) {
-        if (view.info.service == service && !view.info.leaving && !view.draining) {
-            result.push_back(&view);
-        }
+    const Service &state = this->services[service];
+    const std::optional<Duration> mean = state.times.mean();
+    auto views = this->upstreams.candidates(service, mean, false);
+    if (!QueueEstimate(state.queue, state.times, countSlots(views)).isOverloaded()) {
+        return views;
     }
-    return result;
+    return this->upstreams.candidates(service, mean, true);
+}
+
+std::vector<UpstreamView *> Dispatcher::candidates(const OpenCall &call)
+{
+    auto views = this->usableUpstreams(call.target.service);
+    if (!call.target.repeatable && this->repeatableServices.contains(call.target.service)) {
+        // A failed trial call has an unknown outcome, so a call that may be repeated takes it.
+        prefer(views, [](const UpstreamView *view) { return !view->trial; });
+    }
+    prefer(views, [&](const UpstreamView *view) { return !wasTried(call, *view); });
+    return views;
 }
 
 void Dispatcher::startWaiting(const ServiceName &service)
 {
-    auto &queue = this->queues[service];
-    while (!queue.empty()) {
-        Call &call = *this->calls.at(queue.begin()->second);
-        if (!this->startAttempt(call)) {
+    const auto found = this->services.find(service);
+    while (this->dispatchAllowed && found != this->services.end()) {
+        const auto next = found->second.queue.next();
+        if (!next) {
+            return;
+        }
+        OpenCall &call = *this->calls.at(*next);
+        if (call.deadline <= this->clock.now()) {
+            this->expire(call.id);
+        } else if (!this->startQueued(call)) {
             return;
         }
     }
 }
 
-bool Dispatcher::startAttempt(Call &call)
+bool Dispatcher::startQueued(OpenCall &call)
 {
-    UpstreamView *view = this->policy->choose(this->candidates(call.target.service), this->random);
+    UpstreamView *view = this->policy->choose(this->candidates(call), this->random);
     if (view == nullptr) {
         return false;
     }
-    this->queues[call.target.service].erase(QueueKey(call.deadline, call.id));
     call.queued = false;
+    this->services[call.target.service].queue.start(call.target.name, call.deadline, call.id);
+    this->startAttempt(call, *view, false);
+    this->armHedge(call, *view);
+    return true;
+}
+
+void Dispatcher::startAttempt(OpenCall &call, UpstreamView &view, bool hedge)
+{
     this->lastAttempt = this->lastAttempt.next();
-    call.running = this->lastAttempt;
+    call.running.push_back(this->lastAttempt);
+    call.tried.push_back(view.info.id);
     ++call.attempts;
-    ++view->outstanding;
-    this->attempts.emplace(this->lastAttempt, Attempt{call.id, view->info.id});
+    OpenAttempt attempt;
+    attempt.call = call.id;
+    attempt.service = call.target.service;
+    attempt.answerWithin = call.target.answerWithin;
+    attempt.ownRegion = view.sameRegion;
+    attempt.place = this->upstreams.startAttempt(view);
+    this->attempts.emplace(this->lastAttempt, attempt);
     AttemptOrder order;
     order.call = call.id;
     order.attempt = this->lastAttempt;
-    order.upstream = view->info;
+    order.upstream = view.info;
     order.timeout = call.deadline - this->clock.now();
     order.idempotent = call.target.repeatable;
+    order.hedge = hedge;
     this->output.startAttempt(order);
-    return true;
+}
+
+void Dispatcher::armHedge(const OpenCall &call, const UpstreamView &view)
+{
+    const auto delay = this->services[call.target.service].times.quantile(HedgeQuantile);
+    // The times are those of the own region, which calls sent to another region always exceed.
+    if (call.target.repeatable && call.attempts == 1 && view.sameRegion && delay) {
+        this->hedgeTimer.arm(call.id, this->clock.now() + *delay);
+    }
+}
+
+void Dispatcher::hedge(CallId id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || !this->dispatchAllowed) {
+        return;
+    }
+    OpenCall &call = *found->second;
+    if (call.running.size() != 1 || !this->services[call.target.service].queue.isEmpty()) {
+        return;
+    }
+    auto views = this->candidates(call);
+    std::erase_if(views, [&](const UpstreamView *view) {
+        return !view->hasFreeSlot() || view->trial || view->slow || !view->sameRegion
+            || wasTried(call, *view);
+    });
+    UpstreamView *view = this->policy->choose(views, this->random);
+    if (view != nullptr && this->budgetsOf(call.target.name).hedges.trySpend()) {
+        this->startAttempt(call, *view, true);
+    }
 }
 
 void Dispatcher::attemptEnded(AttemptId id, const AttemptReport &report)
@@ -141,34 +273,28 @@
     if (found == this->attempts.end()) {
         return;
     }
-    const Attempt attempt = found->second;
+    const OpenAttempt attempt = found->second;
     this->attempts.erase(found);
-    ServiceName service;
-    const auto upstream = this->upstreams.find(attempt.upstream);
-    if (upstream != this->upstreams.end()) {
-        UpstreamView &view = upstream->second;
-        service = view.info.service;
-        --view.outstanding;
-        view.draining = view.draining || report.draining;
-        view.reportedLoad = report.load;
+    const TimePoint now = this->clock.now();
+    const Duration time = now - attempt.place.startedAt;
+    if (report.isSuccess() && attempt.ownRegion) {
+        this->services[attempt.service].times.record(time, now);
     }
+    this->upstreams.attemptEnded(attempt.place, report, time >= attempt.answerWithin);
     const auto call = this->calls.find(attempt.call);
     if (call != this->calls.end()) {
-        call->second->running.reset();
+        std::erase(call->second->running, id);
         if (report.status == AttemptStatus::Answered) {
             this->finish(*call->second, Outcome::Answered, Reason::None, id);
         } else {
-            this->handleFailure(*call->second, report);
+            this->attemptFailed(*call->second, report);
         }
     }
-    this->startWaiting(service);
+    this->startWaiting(attempt.service);
 }
 
-void Dispatcher::handleFailure(Call &call, const AttemptReport &report)
+void Dispatcher::attemptFailed(OpenCall &call, const AttemptReport &report)
 {
-    constexpr unsigned MaxAttempts = 3;
-    const bool didNotRun
-        = report.status == AttemptStatus::NotSent || report.status == AttemptStatus::NotStarted;
     if (report.status == AttemptStatus::NotSent) {
         call.lastReason = Reason::UpstreamUnreachable;
     } else if (report.status == AttemptStatus::NotStarted) {
@@ -178,14 +304,23 @@
         call.lastReason = report.status == AttemptStatus::TimedOut ? Reason::UpstreamTimedOut
                                                                    : Reason::UpstreamFailed;
     }
-    const bool mayRetry = (didNotRun && !call.mayHaveRun) || call.target.repeatable;
-    if (!mayRetry || call.attempts >= MaxAttempts || this->clock.now() >= call.deadline) {
+    if (!call.running.empty()) {
+        // The other attempt of a hedged call may still answer.
+        return;
+    }
+    const bool mayRepeat = call.target.repeatable || !call.mayHaveRun;
+    if (!mayRepeat || call.attempts >= MaxAttempts || this->clock.now() >= call.deadline
+        || !this->budgetsOf(call.target.name).retries.trySpend()) {
         this->finish(call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, call.lastReason,
                      {});
         return;
     }
-    call.queued = true;
-    this->queues[call.target.service].emplace(call.deadline, call.id);
+    this->enqueue(call);
+}
+
+void Dispatcher::probeEnded(const UpstreamId &id, bool healthy)
+{
+    this->upstreams.probeEnded(id, healthy);
 }
 
 void Dispatcher::expire(CallId id)
@@ -194,37 +329,40 @@
     if (found == this->calls.end()) {
         return;
     }
-    Call &call = *found->second;
-    if (call.running) {
-        // The attempt's own timeout is the same deadline; its end decides the outcome.
-        this->output.cancelAttempt(*call.running);
-        call.mayHaveRun = true;
+    OpenCall &call = *found->second;
+    const bool reachable = !this->usableUpstreams(call.target.service).empty();
+    Reason reason = reachable ? Reason::DeadlinePassed : Reason::NoUpstream;
+    if (!call.running.empty() || call.mayHaveRun) {
+        reason = Reason::UpstreamTimedOut;
     }
-    this->finish(call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-                 call.mayHaveRun ? Reason::UpstreamTimedOut : Reason::DeadlinePassed, {});
+    this->abandon(call, reason);
 }
 
 void Dispatcher::callerLeft(CallId id)
 {
     const auto found = this->calls.find(id);
-    if (found == this->calls.end()) {
-        return;
-    }
-    Call &call = *found->second;
-    if (call.running) {
-        this->output.cancelAttempt(*call.running);
-        call.mayHaveRun = true;
+    if (found != this->calls.end()) {
+        this->abandon(*found->second, Reason::CallerLeft);
     }
-    this->finish(call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, Reason::CallerLeft,
-                 {});
 }
 
-void Dispatcher::finish(Call &call, Outcome outcome, Reason reason, AttemptId winner)
+void Dispatcher::abandon(OpenCall &call, Reason reason)
+{
+    const bool mayHaveRun = call.mayHaveRun || !call.running.empty();
+    this->finish(call, mayHaveRun ? Outcome::Unknown : Outcome::NotRun, reason, {});
+}
+
+void Dispatcher::finish(OpenCall &call, Outcome outcome, Reason reason, AttemptId winner)
 {
     const CallId id = call.id;
     this->timers.cancel(call.expiry);
+    this->hedgeTimer.cancel(id);
     if (call.queued) {
-        this->queues[call.target.service].erase(QueueKey(call.deadline, id));
+        this->services[call.target.service].queue.erase(call.target.name, call.deadline, id);
+    }
+    // The ends of cancelled attempts are still reported and free their slots.
+    for (const AttemptId running : call.running) {
+        this->output.cancelAttempt(running);
     }
     this->calls.erase(id);
     this->output.finishCall(id, outcome, reason, winner);
@@ -233,8 +371,8 @@
 std::size_t Dispatcher::queuedCalls() const
 {
     std::size_t total = 0;
-    for (const auto &[service, queue] : this->queues) {
-        total += queue.size();
+    for (const auto &[service, state] : this->services) {
+        total += state.queue.size();
     }
     return total;
 }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -8,17 +8,25 @@
 #include "config/declaration.h"
 #include "membership/controlstate.h"
 #include "requests/outcome.h"
+#include "routing/callbudget.h"
+#include "routing/callqueue.h"
+#include "routing/dispatcheroptions.h"
 #include "routing/dispatcheroutput.h"
+#include "routing/hedgetimer.h"
 #include "routing/selectionpolicy.h"
+#include "routing/servicetimeestimate.h"
+#include "routing/upstreamset.h"
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <unordered_map>
 
 namespace bronzeshed {
 
+struct OpenAttempt;
+struct OpenCall;
+
 /** A request that asks to be dispatched. */
 struct CallRequest
 {
@@ -29,18 +37,10 @@
     unsigned attempt = 0; ///< how often the caller tried before
 };
 
-/** Bounds and constants of a dispatcher. */
-struct DispatcherOptions
-{
-    std::size_t maxCalls = 4096; ///< queued and in flight together
-    unsigned slotsPerUpstream = 2;
-    RegionName region; ///< of this entry
-    ZoneName zone; ///< of this entry
-};
-
 /**
  * Decides for each call whether, when and where it runs. Uses no sockets, threads, wall clock or
- * global randomness; everything it decides leaves through DispatcherOutput.
+ * global randomness; everything it decides leaves through DispatcherOutput. The output must not
+ * call back from within its functions.
  */
 class Dispatcher
 {
@@ -60,24 +60,50 @@
     /** Takes the end of an attempt that was started. */
     void attemptEnded(AttemptId id, const AttemptReport &report);
 
+    /** Takes the end of a probe that was started. */
+    void probeEnded(const UpstreamId &id, bool healthy);
+
     /** The caller of @p id left; its attempts are cancelled. */
     void callerLeft(CallId id);
 
+    /** Stops new attempts and probes while the control state is stale; queued calls wait. */
+    void setDispatchAllowed(bool allowed);
+
     std::size_t queuedCalls() const;
     std::size_t openCalls() const { return this->calls.size(); }
+    /** Attempts whose end was not reported yet, those of finished calls included. */
+    std::size_t openAttempts() const { return this->attempts.size(); }
+    /** Slots of all upstreams that this entry's attempts occupy. */
+    std::size_t usedSlots() const { return this->upstreams.usedSlots(); }
 
 private:
-    struct Call;
-    struct Attempt;
-    /** Order of a queue: earliest deadline first. */
-    using QueueKey = std::pair<TimePoint, CallId>;
-
+    /** Budgets of a class; they outlast configuration changes. */
+    struct ClassBudgets
+    {
+        CallBudget retries;
+        CallBudget hedges;
+    };
+    struct Service
+    {
+        CallQueue queue;
+        ServiceTimeEstimate times;
+    };
+
+    Reason checkLoad(const ClassTarget &target, const CallRequest &request);
+    bool checkRepeat(const ClassTarget &target, unsigned attempt);
+    ClassBudgets &budgetsOf(const ClassName &name);
+    void enqueue(OpenCall &call);
     void startWaiting(const ServiceName &service);
-    bool startAttempt(Call &call);
-    void finish(Call &call, Outcome outcome, Reason reason, AttemptId winner);
-    void handleFailure(Call &call, const AttemptReport &report);
+    bool startQueued(OpenCall &call);
+    void startAttempt(OpenCall &call, UpstreamView &view, bool hedge);
+    void armHedge(const OpenCall &call, const UpstreamView &view);
+    void hedge(CallId id);
+    void attemptFailed(OpenCall &call, const AttemptReport &report);
     void expire(CallId id);
-    std::vector<UpstreamView *> candidates(const ServiceName &service);
+    void abandon(OpenCall &call, Reason reason);
+    void finish(OpenCall &call, Outcome outcome, Reason reason, AttemptId winner);
+    std::vector<UpstreamView *> usableUpstreams(const ServiceName &service);
+    std::vector<UpstreamView *> candidates(const OpenCall &call);
 
     const Clock &clock;
     Random &random;
@@ -86,11 +112,15 @@
     std::unique_ptr<SelectionPolicy> policy;
     DispatcherOptions options;
     Declaration declaration;
-    std::map<UpstreamId, UpstreamView> upstreams;
-    std::unordered_map<CallId, std::unique_ptr<Call>> calls;
-    std::unordered_map<AttemptId, Attempt> attempts;
-    std::map<ServiceName, std::set<QueueKey>> queues;
+    std::set<ServiceName> repeatableServices; ///< services with a class that may be repeated
+    UpstreamSet upstreams;
+    HedgeTimer hedgeTimer;
+    std::unordered_map<CallId, std::unique_ptr<OpenCall>> calls;
+    std::unordered_map<AttemptId, OpenAttempt> attempts;
+    std::map<ServiceName, Service> services;
+    std::map<ClassName, ClassBudgets> budgets;
     AttemptId lastAttempt;
+    bool dispatchAllowed = true;
 };
 
 } // namespace bronzeshed
--- a/src/routing/dispatcheroutput.h
+++ b/src/routing/dispatcheroutput.h
@@ -28,6 +28,15 @@
     bool draining = false; ///< the upstream said that it is leaving
     std::optional<unsigned> load; ///< requests in flight at the upstream, by its own report
     std::optional<Duration> serviceTime; ///< time spent running, by its own report
+
+    /** Whether a response without server error arrived. An upstream that fails fast answers too. */
+    bool isSuccess() const
+    {
+        return this->status == AttemptStatus::Answered && this->httpStatus < FirstServerError;
+    }
+
+private:
+    static constexpr unsigned FirstServerError = 500;
 };
 
 /** An attempt to be made. */
@@ -41,6 +50,13 @@
     bool hedge = false; ///< runs beside another attempt of the same call
 };
 
+/** A request to the health endpoint of an ejected upstream. */
+struct ProbeOrder
+{
+    UpstreamInfo upstream;
+    Duration timeout = Duration::zero();
+};
+
 /** Port through which the decisions leave. */
 class DispatcherOutput
 {
@@ -51,6 +67,11 @@
     virtual void cancelAttempt(AttemptId id) = 0;
     /** Ends a call. @p winner is the attempt whose response is the answer, if Answered. */
     virtual void finishCall(CallId id, Outcome outcome, Reason reason, AttemptId winner) = 0;
+    /**
+     * Sends a probe; its end goes to Dispatcher::probeEnded().
+     * @return false if this output cannot probe; a trial call then decides alone
+     */
+    virtual bool startProbe(const ProbeOrder & /*order*/) { return false; }
 };
 
 } // namespace bronzeshed
--- /dev/null
+++ b/src/routing/hedgetimer.h
@@ -0,0 +1,34 @@
+#ifndef BRONZESHED_ROUTING_HEDGETIMER_H
+#define BRONZESHED_ROUTING_HEDGETIMER_H
+
+#include "base/timerservice.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace bronzeshed {
+
+/** One pending hedge time per call. */
+class HedgeTimer
+{
+public:
+    using Callback = std::function<void(CallId id)>;
+
+    HedgeTimer(TimerService &timers, Callback callback);
+    ~HedgeTimer();
+    HedgeTimer(const HedgeTimer &) = delete;
+    HedgeTimer &operator=(const HedgeTimer &) = delete;
+
+    /** Calls back for @p id at @p due. Replaces an earlier time of the same call. */
+    void arm(CallId id, TimePoint due);
+    void cancel(CallId id);
+
+private:
+    TimerService &timers;
+    Callback callback;
+    std::unordered_map<CallId, TimerId> pending;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/routing/randompolicy.h
@@ -0,0 +1,17 @@
+#ifndef BRONZESHED_ROUTING_RANDOMPOLICY_H
+#define BRONZESHED_ROUTING_RANDOMPOLICY_H
+
+#include "routing/selectionpolicy.h"
+
+namespace bronzeshed {
+
+/** Baseline: any upstream, whether busy or not. */
+class RandomPolicy : public SelectionPolicy
+{
+public:
+    UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/routing/roundrobinpolicy.h
@@ -0,0 +1,20 @@
+#ifndef BRONZESHED_ROUTING_ROUNDROBINPOLICY_H
+#define BRONZESHED_ROUTING_ROUNDROBINPOLICY_H
+
+#include "routing/selectionpolicy.h"
+
+namespace bronzeshed {
+
+/** Baseline: the upstreams in turn, whether busy or not. */
+class RoundRobinPolicy : public SelectionPolicy
+{
+public:
+    UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
+
+private:
+    UpstreamId last;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/routing/selectionpolicy.h
+++ b/src/routing/selectionpolicy.h
@@ -1,31 +1,13 @@
 #ifndef BRONZESHED_ROUTING_SELECTIONPOLICY_H
 #define BRONZESHED_ROUTING_SELECTIONPOLICY_H
 
-#include "base/clock.h"
 #include "base/random.h"
-#include "membership/controlstate.h"
+#include "routing/upstreamview.h"
 
-#include <memory>
-#include <optional>
 #include <vector>
 
 namespace bronzeshed {
 
-/** What the dispatcher knows about an upstream. */
-struct UpstreamView
-{
-    UpstreamInfo info;
-    unsigned outstanding = 0; ///< attempts of this entry in progress
-    unsigned slots = 2;
-    bool draining = false; ///< by its own report
-    std::optional<unsigned> reportedLoad;
-    std::optional<Duration> serviceTime; ///< smoothed
-    bool sameZone = false;
-    bool sameRegion = false;
-
-    bool hasFreeSlot() const { return this->outstanding < this->slots; }
-};
-
 /** Chooses the upstream for an attempt. */
 class SelectionPolicy
 {
@@ -38,12 +20,26 @@
     virtual UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) = 0;
 };
 
-/** Least outstanding attempts among upstreams with a free slot; own zone, then own region first. */
-class LeastOutstandingPolicy : public SelectionPolicy
+/**
+ * The candidate with the lowest cost, chosen at random among equals.
+ * @param cost maps a view to a value with operator<
+ */
+template<typename Cost>
+UpstreamView *chooseCheapest(const std::vector<UpstreamView *> &candidates, Random &random,
+                             Cost cost)
 {
-public:
-    UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
-};
+    UpstreamView *best = nullptr;
+    std::uint64_t ties = 0;
+    for (UpstreamView *view : candidates) {
+        if (best == nullptr || cost(*view) < cost(*best)) {
+            best = view;
+            ties = 1;
+        } else if (!(cost(*best) < cost(*view)) && random.below(++ties) == 0) {
+            best = view;
+        }
+    }
+    return best;
+}
 
 } // namespace bronzeshed
 
--- /dev/null
+++ b/src/routing/twochoicespolicy.h
@@ -0,0 +1,17 @@
+#ifndef BRONZESHED_ROUTING_TWOCHOICESPOLICY_H
+#define BRONZESHED_ROUTING_TWOCHOICESPOLICY_H
+
+#include "routing/selectionpolicy.h"
+
+namespace bronzeshed {
+
+/** Baseline: the lower reported load of two random upstreams. Reports arrive with responses. */
+class TwoChoicesPolicy : public SelectionPolicy
+{
+public:
+    UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/routing/upstreamset.cpp
@@ -0,0 +1,293 @@
+#include "routing/upstreamset.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bronzeshed {
+
+namespace {
+
+/** Slow start ends after this time and this many answers, or after the longest time. */
+constexpr std::chrono::seconds MinSlowStart{1};
+constexpr std::chrono::seconds MaxSlowStart{10};
+constexpr unsigned SlowStartAnswers = 20;
+/** Weight of a new time in the smoothed time of an upstream, 1 in 10. */
+constexpr int Smoothing = 10;
+/** An upstream is slow if its smoothed time is this many times the mean of its service. With
+ * exponential times, chance alone lifts the smoothed time that far less than once in 1,000 s. */
+constexpr int SlowFactor = 2;
+constexpr unsigned MinSamples = 10;
+/** A slow upstream without newer samples gets the usual work again, or it stayed slow for ever. */
+constexpr std::chrono::seconds MaxSampleAge{1};
+constexpr std::chrono::milliseconds ProbeTimeout{500};
+/** Wait before a readmission that may not begin because the control state is stale. */
+constexpr std::chrono::seconds StaleRetry{1};
+
+bool isUsable(const UpstreamView &view, const UpstreamHealth &health)
+{
+    const auto state = health.state();
+    return !view.info.leaving && !view.draining
+        && (state == UpstreamHealth::State::Usable || state == UpstreamHealth::State::Trial);
+}
+
+} // namespace
+
+UpstreamSet::UpstreamSet(const Clock &clock, TimerService &timers, DispatcherOutput &output,
+                         const DispatcherOptions &options, ReadyCallback ready)
+    : clock(clock)
+    , timers(timers)
+    , output(output)
+    , options(options)
+    , ready(std::move(ready))
+    , budget(clock.now())
+{
+}
+
+UpstreamSet::~UpstreamSet()
+{
+    for (const auto &[id, upstream] : this->upstreams) {
+        this->timers.cancel(upstream.timer);
+    }
+}
+
+void UpstreamSet::update(const std::vector<UpstreamInfo> &listed, const MeasuringBudget &newBudget)
+{
+    this->budget.configure(newBudget, this->clock.now());
+    std::set<UpstreamId> ids;
+    for (const UpstreamInfo &info : listed) {
+        ids.insert(info.id);
+        const auto [found, isNew] = this->upstreams.try_emplace(info.id);
+        Upstream &upstream = found->second;
+        if (isNew || upstream.view.info.endpoint != info.endpoint) {
+            // A service without other upstreams has nothing to gain from a slow start.
+            this->add(upstream, info, this->byService.contains(info.service));
+        }
+        // An upstream that left and was called back has ended its drain.
+        const bool returned = upstream.view.info.leaving && !info.leaving;
+        upstream.view.draining = upstream.view.draining && !returned;
+        upstream.view.info = info;
+        upstream.view.sameZone = info.zone == this->options.zone;
+        upstream.view.sameRegion = info.region == this->options.region;
+        this->budget.track(info.id, this->options.slotsPerUpstream, this->clock.now());
+    }
+    std::erase_if(this->upstreams, [&](const auto &entry) {
+        const bool gone = !ids.contains(entry.first) && entry.second.view.outstanding == 0;
+        if (gone) {
+            this->timers.cancel(entry.second.timer);
+            this->budget.forget(entry.first);
+        }
+        return gone;
+    });
+    this->byService.clear();
+    for (auto &[id, upstream] : this->upstreams) {
+        upstream.view.info.leaving = upstream.view.info.leaving || !ids.contains(id);
+        this->byService[upstream.view.info.service].push_back(&upstream);
+    }
+}
+
+void UpstreamSet::add(Upstream &upstream, const UpstreamInfo &info, bool slowStart)
+{
+    // A replaced server under the same id starts without the history of the old one.
+    this->timers.cancel(upstream.timer);
+    upstream = Upstream();
+    upstream.view.info = info;
+    upstream.generation = ++this->lastGeneration;
+    upstream.view.cold = slowStart;
+    upstream.coldSince = this->clock.now();
+}
+
+void UpstreamSet::refresh(Upstream &upstream, std::optional<Duration> mean) const
+{
+    UpstreamView &view = upstream.view;
+    const TimePoint now = this->clock.now();
+    const Duration age = now - upstream.coldSince;
+    const bool warm = age >= MinSlowStart && upstream.answers >= SlowStartAnswers;
+    view.cold = view.cold && !warm && age < MaxSlowStart;
+    const bool sampled = upstream.samples >= MinSamples && now - upstream.sampledAt <= MaxSampleAge;
+    view.slow = sampled && view.sameRegion && mean && *view.serviceTime > *mean * SlowFactor;
+    view.trial = upstream.health.state() == UpstreamHealth::State::Trial;
+    view.slots = this->options.slotsPerUpstream;
+    if (view.cold || view.slow || !view.sameRegion) {
+        // Upstreams of other regions keep the other slots for the owner of their own region.
+        view.slots = std::max(1U, view.slots / 2);
+    }
+    if (view.trial) {
+        view.slots = 1;
+    }
+}
+
+std::vector<UpstreamView *> UpstreamSet::candidates(const ServiceName &service,
+                                                    std::optional<Duration> mean, bool overloaded)
+{
+    std::vector<UpstreamView *> own;
+    std::vector<UpstreamView *> all;
+    const auto found = this->byService.find(service);
+    if (found == this->byService.end()) {
+        return own;
+    }
+    for (Upstream *upstream : found->second) {
+        if (!isUsable(upstream->view, upstream->health)) {
+            continue;
+        }
+        this->refresh(*upstream, mean);
+        all.push_back(&upstream->view);
+        if (upstream->view.sameRegion) {
+            own.push_back(&upstream->view);
+        }
+    }
+    return own.empty() || overloaded ? all : own;
+}
+
+AttemptPlace UpstreamSet::startAttempt(UpstreamView &view)
+{
+    ++view.outstanding;
+    const Upstream &upstream = this->upstreams.at(view.info.id);
+    return AttemptPlace{view.info.id, upstream.generation, this->clock.now()};
+}
+
+void UpstreamSet::attemptEnded(const AttemptPlace &place, const AttemptReport &report, bool ranLate)
+{
+    const auto found = this->upstreams.find(place.upstream);
+    if (found == this->upstreams.end() || found->second.generation != place.generation) {
+        return;
+    }
+    Upstream &upstream = found->second;
+    UpstreamView &view = upstream.view;
+    --view.outstanding;
+    view.draining = view.draining || report.draining;
+    if (report.load) {
+        view.reportedLoad = report.load;
+    }
+    const Duration time = this->clock.now() - place.startedAt;
+    const bool longer = !view.serviceTime || time > *view.serviceTime;
+    if (report.isSuccess() || (report.status == AttemptStatus::Cancelled && longer)) {
+        // A cancelled attempt would have taken at least this time.
+        this->recordTime(upstream, time);
+    }
+    this->recordEnd(upstream, report, ranLate);
+}
+
+std::size_t UpstreamSet::usedSlots() const
+{
+    std::size_t used = 0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        used += upstream.view.outstanding;
+    }
+    return used;
+}
+
+void UpstreamSet::recordTime(Upstream &upstream, Duration time)
+{
+    std::optional<Duration> &smoothed = upstream.view.serviceTime;
+    smoothed = smoothed ? *smoothed + (time - *smoothed) / Smoothing : time;
+    ++upstream.samples;
+    upstream.sampledAt = this->clock.now();
+}
+
+void UpstreamSet::recordEnd(Upstream &upstream, const AttemptReport &report, bool ranLate)
+{
+    switch (report.status) {
+    case AttemptStatus::Answered:
+        if (report.isSuccess()) {
+            this->recordSuccess(upstream);
+        } else {
+            this->recordFailure(upstream);
+        }
+        return;
+    case AttemptStatus::NotStarted:
+        if (!report.draining) {
+            this->recordFailure(upstream);
+        }
+        return;
+    case AttemptStatus::TimedOut:
+    case AttemptStatus::Cancelled:
+        // A short deadline is no fault of the upstream, but a trial call without answer is none.
+        if (ranLate || upstream.health.state() == UpstreamHealth::State::Trial) {
+            this->recordFailure(upstream);
+        }
+        return;
+    case AttemptStatus::NotSent:
+    case AttemptStatus::Failed:
+        this->recordFailure(upstream);
+        return;
+    }
+}
+
+void UpstreamSet::recordSuccess(Upstream &upstream)
+{
+    ++upstream.answers;
+    if (upstream.health.recordSuccess()) {
+        upstream.view.cold = true;
+        upstream.coldSince = this->clock.now();
+        upstream.answers = 0;
+        upstream.probeFailed = false;
+    }
+}
+
+void UpstreamSet::recordFailure(Upstream &upstream)
+{
+    if (upstream.health.recordFailure()) {
+        this->scheduleReadmission(upstream, upstream.health.ejectionTime());
+    }
+}
+
+void UpstreamSet::scheduleReadmission(Upstream &upstream, Duration delay)
+{
+    this->timers.cancel(upstream.timer);
+    upstream.timer = this->timers.once(
+        this->clock.now() + delay,
+        [this, id = upstream.view.info.id](TimePoint) { this->endEjection(id); });
+}
+
+void UpstreamSet::endEjection(const UpstreamId &id)
+{
+    Upstream &upstream = this->upstreams.at(id);
+    if (!this->probingAllowed) {
+        this->scheduleReadmission(upstream, StaleRetry);
+        return;
+    }
+    // Health endpoints mislead both ways: after a failed probe a call decides alone.
+    if (!upstream.probeFailed && this->startProbe(upstream)) {
+        return;
+    }
+    upstream.health.allowTrial();
+    this->ready(upstream.view.info.service);
+}
+
+bool UpstreamSet::startProbe(Upstream &upstream)
+{
+    const UpstreamView &view = upstream.view;
+    if (view.info.leaving || view.draining
+        || !this->budget.trySpend(view.info.id, this->clock.now())) {
+        return false;
+    }
+    if (!this->output.startProbe(ProbeOrder{view.info, ProbeTimeout})) {
+        return false;
+    }
+    upstream.health.beginProbe();
+    upstream.timer
+        = this->timers.once(this->clock.now() + ProbeTimeout,
+                            [this, id = view.info.id](TimePoint) { this->probeEnded(id, false); });
+    return true;
+}
+
+void UpstreamSet::probeEnded(const UpstreamId &id, bool healthy)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()
+        || found->second.health.state() != UpstreamHealth::State::Probing) {
+        return;
+    }
+    Upstream &upstream = found->second;
+    this->timers.cancel(upstream.timer);
+    if (!healthy) {
+        upstream.probeFailed = true;
+        upstream.health.prolongEjection();
+        this->scheduleReadmission(upstream, upstream.health.ejectionTime());
+        return;
+    }
+    upstream.health.allowTrial();
+    this->ready(upstream.view.info.service);
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/routing/upstreamset.h
@@ -0,0 +1,101 @@
+#ifndef BRONZESHED_ROUTING_UPSTREAMSET_H
+#define BRONZESHED_ROUTING_UPSTREAMSET_H
+
+#include "base/timerservice.h"
+#include "routing/dispatcheroptions.h"
+#include "routing/dispatcheroutput.h"
+#include "routing/probebudget.h"
+#include "routing/upstreamhealth.h"
+#include "routing/upstreamview.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace bronzeshed {
+
+/** Where and since when an attempt occupies a slot. */
+struct AttemptPlace
+{
+    UpstreamId upstream;
+    std::uint64_t generation = 0; ///< tells a replaced upstream from the one before it
+    TimePoint startedAt;
+};
+
+/**
+ * The upstreams of all services with what is learnt about each: slots in use, health, slow start
+ * and service time. Ejects, probes and readmits them.
+ */
+class UpstreamSet
+{
+public:
+    /** Called when an upstream of @p service may take work again. */
+    using ReadyCallback = std::function<void(const ServiceName &service)>;
+
+    UpstreamSet(const Clock &clock, TimerService &timers, DispatcherOutput &output,
+                const DispatcherOptions &options, ReadyCallback ready);
+    ~UpstreamSet();
+    UpstreamSet(const UpstreamSet &) = delete;
+    UpstreamSet &operator=(const UpstreamSet &) = delete;
+
+    void update(const std::vector<UpstreamInfo> &listed, const MeasuringBudget &budget);
+
+    /**
+     * The upstreams that may take an attempt: those of the own region, or all if the own region
+     * has none or @p overloaded is set.
+     * @param mean service time of the service, to tell which upstreams are slow
+     */
+    std::vector<UpstreamView *> candidates(const ServiceName &service, std::optional<Duration> mean,
+                                           bool overloaded);
+
+    AttemptPlace startAttempt(UpstreamView &view);
+
+    /** @param ranLate whether the attempt was still in progress when its answer was overdue */
+    void attemptEnded(const AttemptPlace &place, const AttemptReport &report, bool ranLate);
+
+    void probeEnded(const UpstreamId &id, bool healthy);
+
+    std::size_t usedSlots() const;
+
+    /** Whether probes and trial calls may be sent. */
+    void setProbingAllowed(bool allowed) { this->probingAllowed = allowed; }
+
+private:
+    struct Upstream
+    {
+        UpstreamView view;
+        UpstreamHealth health;
+        std::uint64_t generation = 0;
+        TimePoint coldSince;
+        unsigned answers = 0; ///< since coldSince
+        unsigned samples = 0; ///< of the service time
+        TimePoint sampledAt;
+        TimerId timer; ///< end of the ejection or of the probe
+        bool probeFailed = false; ///< the last probe of this ejection failed
+    };
+
+    void add(Upstream &upstream, const UpstreamInfo &info, bool slowStart);
+    void refresh(Upstream &upstream, std::optional<Duration> mean) const;
+    void recordTime(Upstream &upstream, Duration time);
+    void recordEnd(Upstream &upstream, const AttemptReport &report, bool ranLate);
+    void recordFailure(Upstream &upstream);
+    void recordSuccess(Upstream &upstream);
+    void scheduleReadmission(Upstream &upstream, Duration delay);
+    void endEjection(const UpstreamId &id);
+    bool startProbe(Upstream &upstream);
+
+    const Clock &clock;
+    TimerService &timers;
+    DispatcherOutput &output;
+    DispatcherOptions options;
+    ReadyCallback ready;
+    ProbeBudget budget;
+    std::map<UpstreamId, Upstream> upstreams;
+    std::map<ServiceName, std::vector<Upstream *>> byService;
+    std::uint64_t lastGeneration = 0;
+    bool probingAllowed = true;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/routing/upstreamview.h
@@ -0,0 +1,31 @@
+#ifndef BRONZESHED_ROUTING_UPSTREAMVIEW_H
+#define BRONZESHED_ROUTING_UPSTREAMVIEW_H
+
+#include "base/clock.h"
+#include "membership/controlstate.h"
+
+#include <optional>
+
+namespace bronzeshed {
+
+/** What the dispatcher knows about an upstream. */
+struct UpstreamView
+{
+    UpstreamInfo info;
+    unsigned outstanding = 0; ///< attempts of this entry in progress
+    unsigned slots = 2; ///< attempts that may be in progress now
+    bool draining = false; ///< by its own report
+    std::optional<unsigned> reportedLoad;
+    std::optional<Duration> serviceTime; ///< smoothed
+    bool sameZone = false;
+    bool sameRegion = false;
+    bool cold = false; ///< in slow start
+    bool slow = false; ///< clearly slower than the other upstreams of its service
+    bool trial = false; ///< ejected, and the next call decides about its readmission
+
+    bool hasFreeSlot() const { return this->outstanding < this->slots; }
+};
+
+} // namespace bronzeshed
+
+#endif
