Add bronzeshed-model, which compares routing policies in virtual time

The model runs the same Dispatcher behind its output port against servers with slow phases, stale reports, cold start and fail fast, and compares it with an ideal queue and four baselines.

--- /dev/null
+++ b/src/model/modelpolicy.cpp
@@ -0,0 +1,35 @@
+#include "model/modelpolicy.h"
+
+#include "routing/freeslotpolicy.h"
+#include "routing/leastoutstandingpolicy.h"
+#include "routing/randompolicy.h"
+#include "routing/roundrobinpolicy.h"
+#include "routing/twochoicespolicy.h"
+
+namespace bronzeshed {
+
+namespace {
+
+template<typename Policy>
+std::unique_ptr<SelectionPolicy> makePolicy()
+{
+    return std::make_unique<Policy>();
+}
+
+} // namespace
+
+const std::array<ModelPolicy, 7> &modelPolicies()
+{
+    static const std::array<ModelPolicy, 7> policies{{
+        {"ideal-queue", true, nullptr},
+        {"random", false, makePolicy<RandomPolicy>},
+        {"round-robin", false, makePolicy<RoundRobinPolicy>},
+        {"least-outstanding", false, makePolicy<LeastOutstandingPolicy>},
+        {"two-choices", false, makePolicy<TwoChoicesPolicy>},
+        {"free-slot-all", false, makePolicy<FreeSlotPolicy>},
+        {"free-slot-owner", true, makePolicy<FreeSlotPolicy>},
+    }};
+    return policies;
+}
+
+} // namespace bronzeshed
