--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "entry/callresponse.h"
 #include "entry/lookup.h"
+#include "routing/freeslotpolicy.h"
 
 namespace bronzeshed {
 
@@ -25,8 +26,8 @@
     : options(options)
     , ports(ports)
     , random(makeSystemRandom())
-    , dispatcher(this->clock, this->random, this->timers, *this,
-                 std::make_unique<LeastOutstandingPolicy>(), options.dispatcher)
+    , dispatcher(this->clock, this->random, this->timers, *this, std::make_unique<FreeSlotPolicy>(),
+                 options.dispatcher)
     , ledger(this->clock, this->timers, options.incarnation, options.ledger, ports.peers)
 {
 }
@@ -48,6 +49,8 @@
 {
     while (!this->stopping.load()) {
         this->takeControlState();
+        // Checked before any event: after a pause, queued calls must not go out on an old state.
+        this->dispatcher.setDispatchAllowed(this->isFresh());
         this->timers.fire(this->clock.now());
         bool busy = this->takeEvents(this->ports.attempts, [this](AttemptEvent event) {
             this->handleAttempt(std::move(event));
