Back off when a read of the store fails while no peer confirms the state

Cause: a failed read was taken for a watch ended on purpose whenever the state needed confirmation, so an agent without peers and store repeated the read without a pause. The test of a frozen instance, made stricter, showed it.

The process tests now start entries with a long drain window, so that the end of a drained entry is not mistaken for its leaving, and wait until a frozen process stands still.

--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -230,8 +230,8 @@
     const std::lock_guard lock(this->mutex);
     std::vector<Member> live = this->table.members();
     std::erase_if(live, [](const Member &member) { return !isLive(member); });
-    return live.empty()
-        || rendezvousOrder(ConfigKey, std::move(live)).front().id == this->identity.id;
+    const std::vector<Member> order = rendezvousOrder(ConfigKey, std::move(live));
+    return !order.empty() && order.front().id == this->identity.id;
 }
 
 bool AgentState::isStoreWatcher()
--- a/src/agent/storereader.cpp
+++ b/src/agent/storereader.cpp
@@ -42,15 +42,22 @@
         this->failures = 0;
         return Duration::zero();
     } catch (const Error &error) {
-        if (this->cancelled()) {
-            return Duration::zero();
-        }
-        this->counters.count(ControlMessage::StoreFailed);
-        LogLine("store_call_failed", LogLevel::Warning).add("error", error.what());
-        // The store may come back with another state, which only a read shows.
-        this->nextRead = TimePoint();
-        return storeBackoff(++this->failures, this->random);
+        return this->pauseAfter(error);
+    }
+}
+
+Duration StoreReader::pauseAfter(const Error &error)
+{
+    // Only a watch is ended on purpose. A read that fails while the state needs confirmation is a
+    // failure of the store like any other and must back off.
+    if (std::exchange(this->watching, false) && this->cancelled()) {
+        return Duration::zero();
     }
+    this->counters.count(ControlMessage::StoreFailed);
+    LogLine("store_call_failed", LogLevel::Warning).add("error", error.what());
+    // The store may come back with another state, which only a read shows.
+    this->nextRead = TimePoint();
+    return storeBackoff(++this->failures, this->random);
 }
 
 void StoreReader::read()
@@ -66,7 +73,9 @@
 {
     this->counters.count(ControlMessage::StoreWatch);
     const TimePoint sentAt = this->clock.now();
+    this->watching = true;
     const auto stored = this->store.watch(ConfigKey, this->revision);
+    this->watching = false;
     if (stored) {
         this->adopt(*stored, sentAt);
     }
--- a/src/agent/storereader.h
+++ b/src/agent/storereader.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_AGENT_STOREREADER_H
 
 #include "agent/agentstate.h"
+#include "base/error.h"
 #include "base/random.h"
 #include "platform/keyvaluestore.h"
 #include "rpc/controlcounters.h"
@@ -25,6 +26,7 @@
 private:
     void read();
     void watch();
+    Duration pauseAfter(const Error &error);
     void adopt(const StoredValue &stored, TimePoint sentAt);
 
     const Clock &clock;
@@ -35,6 +37,7 @@
     std::function<bool()> cancelled;
     TimePoint nextRead; ///< long past at the start, so that the first step reads
     std::uint64_t revision = 0;
+    bool watching = false;
     unsigned failures = 0;
 };
 
--- a/src/rpc/agentlink.cpp
+++ b/src/rpc/agentlink.cpp
@@ -48,14 +48,19 @@
 {
     auto io = kj::setupAsyncIo();
     while (!this->stopping.load()) {
+        std::string problem;
         try {
             this->runConnection(io);
+            continue;
         } catch (const kj::Exception &error) {
-            LogLine("agent_link_lost", LogLevel::Warning)
-                .add("agent", this->agent.toString())
-                .add("error", error.getDescription().cStr());
-            io.provider->getTimer().afterDelay(ReconnectDelay).wait(io.waitScope);
+            problem = error.getDescription().cStr();
+        } catch (const std::exception &error) {
+            problem = error.what();
         }
+        LogLine("agent_link_lost", LogLevel::Warning)
+            .add("agent", this->agent.toString())
+            .add("error", problem);
+        io.provider->getTimer().afterDelay(ReconnectDelay).wait(io.waitScope);
     }
 }
 
--- a/tests/agent/statetest.cpp
+++ b/tests/agent/statetest.cpp
@@ -192,7 +192,8 @@
     SeededRandom random(1);
     ControlCounters counters;
     AgentState &state = this->agent(0).state;
-    StoreReader reader(this->cluster.clock, random, store, state, counters, [] { return false; });
+    StoreReader reader(this->cluster.clock, random, store, state, counters,
+                       [&] { return store.down; });
     reader.step();
     BOOST_TEST(store.reads == 1U);
     BOOST_TEST(state.record().version.value() == 3U);
@@ -201,6 +202,9 @@
     BOOST_TEST(store.watches == 1U);
     BOOST_TEST(state.record().version.value() == 4U);
     store.down = true;
+    // A watch that was ended on purpose is no failure of the store, but a failed read is one.
+    BOOST_TEST((reader.step() == 0ms));
+    this->cluster.clock.advance(2min);
     BOOST_TEST((reader.step() >= 250ms));
     for (unsigned i = 0; i < 10; ++i) {
         BOOST_TEST((reader.step() <= 30s));
--- a/tests/processes/childprocess.cpp
+++ b/tests/processes/childprocess.cpp
@@ -59,6 +59,12 @@
     this->kill();
 }
 
+void ChildProcess::freeze()
+{
+    this->signal(SIGSTOP);
+    ::waitpid(this->pid, nullptr, WUNTRACED);
+}
+
 void ChildProcess::kill()
 {
     if (!this->exitCode) {
--- a/tests/processes/childprocess.h
+++ b/tests/processes/childprocess.h
@@ -32,6 +32,9 @@
     /** Sends a signal unless the process has ended. */
     void signal(int number);
 
+    /** Stops the process until SIGCONT, and waits until all its threads stand still. */
+    void freeze();
+
     /** Ends the process at once. */
     void kill();
 
--- a/tests/processes/membershipprocesses.cpp
+++ b/tests/processes/membershipprocesses.cpp
@@ -97,6 +97,9 @@
     instance.entry = std::make_unique<ChildProcess>(
         "bronzeshed-entry",
         std::vector<std::string>{"--region=" + region, "--zone=z", "--listen=127.0.0.1:0",
+                                 // Longer than any wait, so that no test mistakes the end of a
+                                 // draining entry for its leaving.
+                                 "--drain-ms=600000",
                                  "--agent=" + instance.agent->endpoint().toString()});
     this->instances.push_back(std::move(instance));
 }
--- a/tests/processes/membershiptest.cpp
+++ b/tests/processes/membershiptest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
+#include <thread>
 
 using namespace bronzeshed;
 
@@ -95,8 +96,8 @@
 {
     const MemberInstance &frozen = this->instance(2);
     const auto stopped = std::chrono::steady_clock::now();
-    frozen.agent->signal(SIGSTOP);
-    frozen.entry->signal(SIGSTOP);
+    frozen.agent->freeze();
+    frozen.entry->freeze();
     this->deployment.putVersion(2);
     BOOST_REQUIRE(waitFor([&] {
         return this->allName(3, frozen.entryAddress(), false)
@@ -105,8 +106,20 @@
     // The guarantee begins when the state of before is older than the freshness limit of 6 s.
     BOOST_REQUIRE(waitFor(
         [&] { return std::chrono::steady_clock::now() - stopped > std::chrono::seconds(8); }));
+    // Nobody can confirm the state of the resumed instance, so it must refuse.
+    this->deployment.store.kill();
+    for (const unsigned other : {0U, 1U, 3U, 4U}) {
+        this->instance(other).agent->freeze();
+    }
     frozen.entry->signal(SIGCONT);
     frozen.agent->signal(SIGCONT);
+    for (unsigned i = 0; i < 30; ++i) {
+        BOOST_TEST(frozen.configVersion() == 0);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    for (const unsigned other : {0U, 1U, 3U, 4U}) {
+        this->instance(other).agent->signal(SIGCONT);
+    }
     std::int64_t version = 0;
     BOOST_TEST(waitFor([&] { return (version = frozen.configVersion()) != 0; }));
     BOOST_TEST(version == 2);
