Run non-idempotent requests at most once

The entry ran every request it received, so a repeat of a handover could run twice. Calls of non-idempotent classes now need an id of an entry process, and only that process may run it. Its ledger records each id with its outcome: a repeat waits or gets the recorded answer, and an id of another entry is resolved through that entry's Ledger RPC.

Every refusal after the id was read is recorded too, and the id is looked up before any reason to refuse. Otherwise a repeat could be told not-run while the first request runs, or a delayed duplicate could run after the caller was told not-run. For the same reason an id refused because the ledger was full stays refused, and a request with an id that meets a full caller ring is unknown.

A caller that leaves cancels an idempotent request only. The second SIGTERM ends the entry without joining its threads, which would wait for the agent.

--- a/src/entry/callerport.cpp
+++ b/src/entry/callerport.cpp
@@ -1,20 +1,46 @@
 #include "entry/callerport.h"
 
 #include "entry/callresponse.h"
+#include "requests/requestidentity.h"
 
 namespace bronzeshed {
 
-CallerPort::CallerPort(EventRing<CallerEvent> &ring)
+namespace {
+
+/** Digest of what a repeat must have in common with the first request. */
+std::uint64_t digestOfRequest(const HttpRequest &request)
+{
+    const std::string caller = request.headers.find("Bronzeshed-Caller").value_or("");
+    const std::string className = request.headers.find("Bronzeshed-Class").value_or("");
+    return digestOf({caller, className, request.method, request.target, request.body});
+}
+
+} // namespace
+
+CallerPort::CallerPort(EventRing<CallerEvent> &ring, EventRing<CallId> &departures)
     : ring(ring)
+    , departures(departures)
 {
 }
 
 void CallerPort::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
-    CallerEvent event{std::move(request), std::move(exchange), std::chrono::steady_clock::now()};
+    this->lastCall = this->lastCall.next();
+    const CallId id = this->lastCall;
+    const bool identified = request.headers.count("Bronzeshed-Request-Id") > 0;
+    const std::uint64_t digest = identified ? digestOfRequest(request) : 0;
+    CallerEvent event{id, std::move(request), exchange, std::chrono::steady_clock::now(), digest};
     if (!this->ring.tryPush(event)) {
-        event.exchange->respond(makeRefusal(Outcome::NotRun, Reason::Overloaded));
+        // A request with an id may repeat one that has run, which only the ledger can tell.
+        const Outcome outcome = identified ? Outcome::Unknown : Outcome::NotRun;
+        exchange->respond(makeRefusal(outcome, Reason::Overloaded));
+        return;
     }
+    exchange->onClientGone([this, id] {
+        // If the ring is full, the request runs to its end for nobody.
+        CallId departed = id;
+        this->departures.tryPush(departed);
+    });
 }
 
 void CallerPort::decorateError(HttpResponse &response)
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -21,62 +21,67 @@
 
 } // namespace
 
-DecisionLoop::DecisionLoop(const DecisionOptions &options, Wakeup &wakeup,
-                           EventRing<CallerEvent> &callers, EventRing<AttemptEvent> &attempts,
-                           ControlInbox &control, UpstreamPort &upstreams)
+DecisionLoop::DecisionLoop(const DecisionOptions &options, const DecisionPorts &ports)
     : options(options)
-    , wakeup(wakeup)
-    , callers(callers)
-    , attempts(attempts)
-    , control(control)
-    , upstreams(upstreams)
+    , ports(ports)
     , random(makeSystemRandom())
     , dispatcher(this->clock, this->random, this->timers, *this,
                  std::make_unique<LeastOutstandingPolicy>(), options.dispatcher)
+    , ledger(this->clock, this->timers, options.incarnation, options.ledger, ports.peers)
 {
 }
 
+template<typename Event, typename Handler>
+bool DecisionLoop::takeEvents(EventRing<Event> &ring, Handler handle)
+{
+    for (unsigned i = 0; i < MaxBatch; ++i) {
+        auto event = ring.tryPop();
+        if (!event) {
+            return i > 0;
+        }
+        handle(std::move(*event));
+    }
+    return true;
+}
+
 void DecisionLoop::run()
 {
     while (!this->stopping.load()) {
         this->takeControlState();
         this->timers.fire(this->clock.now());
-        bool busy = false;
-        for (unsigned i = 0; i < MaxBatch; ++i) {
-            auto ended = this->attempts.tryPop();
-            if (!ended) {
-                break;
-            }
-            busy = true;
-            this->handleAttempt(std::move(*ended));
-        }
-        for (unsigned i = 0; i < MaxBatch; ++i) {
-            auto arrived = this->callers.tryPop();
-            if (!arrived) {
-                break;
-            }
-            busy = true;
-            this->handleCaller(std::move(*arrived));
-        }
-        this->open.store(this->calls.size());
+        bool busy = this->takeEvents(this->ports.attempts, [this](AttemptEvent event) {
+            this->handleAttempt(std::move(event));
+        });
+        busy |= this->takeEvents(this->ports.callers, [this](CallerEvent event) {
+            this->handleCaller(std::move(event));
+        });
+        busy |= this->takeEvents(this->ports.departures,
+                                 [this](CallId id) { this->handleDeparture(id); });
+        busy |= this->takeEvents(this->ports.questions, [this](const LedgerQuestion &question) {
+            this->ports.askers.reply({question.question, this->ledger.resolve(question)});
+        });
+        busy |= this->takeEvents(this->ports.results, [this](const LedgerResult &result) {
+            this->ledger.takeResult(result);
+        });
+        this->open.store(this->calls.size() + this->ledger.waitingCalls());
         if (busy) {
             continue;
         }
         const TimePoint now = this->clock.now();
         const TimePoint wakeAt = this->timers.nextDue().value_or(now + MaxSleep);
-        this->wakeup.wait(std::min<Duration>(wakeAt - now, MaxSleep));
+        this->ports.wakeup.wait(std::min<Duration>(wakeAt - now, MaxSleep));
     }
 }
 
 void DecisionLoop::stop()
 {
     this->stopping.store(true);
-    this->wakeup.notify();
+    this->ports.wakeup.notify();
 }
 
 void DecisionLoop::takeControlState()
 {
-    auto newer = this->control.takeState();
+    auto newer = this->ports.control.takeState();
     if (!newer) {
         return;
     }
@@ -96,13 +101,13 @@
             .add("to", newer->configVersion.value());
     }
     this->state = std::move(*newer);
-    this->control.setConfigVersionInForce(this->state.configVersion);
+    this->ports.control.setConfigVersionInForce(this->state.configVersion);
     this->dispatcher.update(this->declaration, this->state.upstreams);
 }
 
 bool DecisionLoop::isFresh() const
 {
-    return this->clock.now() - this->control.confirmedAt() <= this->options.freshness;
+    return this->clock.now() - this->ports.control.confirmedAt() <= this->options.freshness;
 }
 
 void DecisionLoop::handleCaller(CallerEvent event)
@@ -145,29 +150,76 @@
         event.exchange->respond(makeRefusal(Outcome::Invalid, parsed.reason, parsed.detail));
         return;
     }
-    if (this->refusing.load()) {
-        event.exchange->respond(makeRefusal(Outcome::NotRun, Reason::Draining));
-        return;
-    }
-    if (!this->isFresh()) {
-        event.exchange->respond(makeRefusal(Outcome::NotRun, Reason::StaleControlState));
-        return;
-    }
-    const auto target = this->declaration.classes.find(parsed.headers.className);
-    const bool known = target != this->declaration.classes.end();
-    const Duration fallback = known ? target->second.deadline : Duration::zero();
     CallRequest request;
-    this->lastCall = this->lastCall.next();
-    request.id = this->lastCall;
+    request.id = event.id;
     request.className = parsed.headers.className;
-    request.timeLeft = parsed.headers.timeLeft ? Duration(*parsed.headers.timeLeft) : fallback;
-    request.timeLeft -= this->clock.now() - event.arrival;
+    request.timeLeft = this->timeLeft(event, parsed.headers);
     request.depth = parsed.headers.depth;
     request.attempt = parsed.headers.attempt;
-    this->calls.emplace(request.id,
-                        OpenCall{std::move(event.request), std::move(event.exchange),
-                                 std::move(parsed.headers), event.arrival + request.timeLeft});
-    this->dispatcher.admit(request);
+    OpenCall call;
+    call.headers = std::move(parsed.headers);
+    call.deadline = this->clock.now() + request.timeLeft;
+    if (this->mustRunOnce(call.headers)) {
+        if (!this->admitOnce(event, call)) {
+            return;
+        }
+    } else if (call.headers.requestId.isEmpty()) {
+        call.headers.requestId = this->ledger.makeId(this->random.next());
+    }
+    call.request = std::move(event.request);
+    call.exchange = std::move(event.exchange);
+    this->calls.emplace(request.id, std::move(call));
+    // Refusals go through finishCall() so that the ledger records them too.
+    if (this->refusing.load()) {
+        this->finishCall(request.id, Outcome::NotRun, Reason::Draining, {});
+    } else if (!this->isFresh()) {
+        this->finishCall(request.id, Outcome::NotRun, Reason::StaleControlState, {});
+    } else {
+        this->dispatcher.admit(request);
+    }
+}
+
+Duration DecisionLoop::timeLeft(const CallerEvent &event, const CallHeaders &headers) const
+{
+    const auto target = this->declaration.classes.find(headers.className);
+    const bool known = target != this->declaration.classes.end();
+    const Duration fallback = known ? target->second.deadline : Duration::zero();
+    const Duration given = headers.timeLeft ? Duration(*headers.timeLeft) : fallback;
+    return given - (this->clock.now() - event.arrival);
+}
+
+bool DecisionLoop::mustRunOnce(const CallHeaders &headers) const
+{
+    if (this->declaration.classes.empty()) {
+        // The class is not known yet. An id may name a request that ran at another entry.
+        return parseRequestIdentity(headers.requestId).has_value();
+    }
+    const auto target = this->declaration.classes.find(headers.className);
+    return target != this->declaration.classes.end() && !target->second.repeatable;
+}
+
+bool DecisionLoop::admitOnce(const CallerEvent &event, OpenCall &call)
+{
+    call.identity = parseRequestIdentity(call.headers.requestId);
+    if (!call.identity) {
+        const bool missing = call.headers.requestId.isEmpty();
+        event.exchange->respond(makeRefusal(
+            Outcome::Invalid, missing ? Reason::MissingIdentity : Reason::MalformedIdentity));
+        return false;
+    }
+    call.headers.requestId = call.identity->toId();
+    return this->ledger.admit(
+        {event.id, *call.identity, event.digest, call.deadline, event.exchange},
+        this->state.members);
+}
+
+void DecisionLoop::handleDeparture(CallId id)
+{
+    const auto found = this->calls.find(id);
+    // A non-idempotent request runs on, so that its outcome is recorded for a repeat.
+    if (found != this->calls.end() && !found->second.identity) {
+        this->dispatcher.callerLeft(id);
+    }
 }
 
 void DecisionLoop::handleAttempt(AttemptEvent event)
@@ -184,12 +236,13 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(order.timeout);
     request.headers.set("Bronzeshed-Deadline-Ms", std::to_string(left.count()));
     request.headers.set("Bronzeshed-Depth", std::to_string(call.headers.depth));
-    this->upstreams.send(order, request);
+    request.headers.set("Bronzeshed-Request-Id", call.headers.requestId.value());
+    this->ports.upstreams.send(order, request);
 }
 
 void DecisionLoop::cancelAttempt(AttemptId id)
 {
-    this->upstreams.cancel(id);
+    this->ports.upstreams.cancel(id);
 }
 
 void DecisionLoop::finishCall(CallId id, Outcome outcome, Reason reason, AttemptId /*winner*/)
@@ -197,11 +250,13 @@
     const auto found = this->calls.find(id);
     const OpenCall call = std::move(found->second);
     this->calls.erase(found);
-    if (outcome == Outcome::Answered) {
-        call.exchange->respond(makeAnswer(std::move(this->winningResponse)));
-    } else {
-        call.exchange->respond(makeRefusal(outcome, reason));
+    HttpResponse response = outcome == Outcome::Answered
+        ? makeAnswer(std::move(this->winningResponse))
+        : makeRefusal(outcome, reason);
+    if (call.identity) {
+        this->ledger.complete(*call.identity, outcome, reason, response);
     }
+    call.exchange->respond(std::move(response));
 }
 
 } // namespace bronzeshed
--- a/src/entry/decisionloop.h
+++ b/src/entry/decisionloop.h
@@ -5,6 +5,7 @@
 #include "entry/callerport.h"
 #include "entry/callparser.h"
 #include "entry/controlinbox.h"
+#include "entry/ledgercoordinator.h"
 #include "entry/upstreamport.h"
 #include "routing/dispatcher.h"
 
@@ -17,9 +18,26 @@
 struct DecisionOptions
 {
     DispatcherOptions dispatcher;
+    LedgerLimits ledger;
+    Incarnation incarnation; ///< of this process
     Duration freshness = std::chrono::seconds(6); ///< age of control state that stops new work
 };
 
+/** What connects the decision thread with the other threads. */
+struct DecisionPorts
+{
+    Wakeup &wakeup; ///< of all rings
+    EventRing<CallerEvent> &callers;
+    EventRing<CallId> &departures;
+    EventRing<AttemptEvent> &attempts;
+    EventRing<LedgerQuestion> &questions;
+    EventRing<LedgerResult> &results;
+    ControlInbox &control;
+    UpstreamPort &upstreams;
+    LedgerAskers &askers;
+    LedgerPeers &peers;
+};
+
 /**
  * Body of the decision thread: feeds the dispatcher with events of the other threads and carries
  * out what it decides. All state is used by this thread only.
@@ -27,8 +45,7 @@
 class DecisionLoop : private DispatcherOutput
 {
 public:
-    DecisionLoop(const DecisionOptions &options, Wakeup &wakeup, EventRing<CallerEvent> &callers,
-                 EventRing<AttemptEvent> &attempts, ControlInbox &control, UpstreamPort &upstreams);
+    DecisionLoop(const DecisionOptions &options, const DecisionPorts &ports);
 
     /** Runs until stop(). */
     void run();
@@ -46,6 +63,7 @@
         std::shared_ptr<HttpExchange> exchange;
         CallHeaders headers;
         TimePoint deadline;
+        std::optional<RequestIdentity> identity; ///< set if the call may run once only
     };
 
     void startAttempt(const AttemptOrder &order) override;
@@ -56,24 +74,26 @@
     void handleCaller(CallerEvent event);
     void handleLookup(const CallerEvent &event);
     void handleCall(CallerEvent event);
+    Duration timeLeft(const CallerEvent &event, const CallHeaders &headers) const;
+    bool mustRunOnce(const CallHeaders &headers) const;
+    bool admitOnce(const CallerEvent &event, OpenCall &call);
+    void handleDeparture(CallId id);
     void handleAttempt(AttemptEvent event);
     bool isFresh() const;
+    template<typename Event, typename Handler>
+    bool takeEvents(EventRing<Event> &ring, Handler handle);
 
     DecisionOptions options;
-    Wakeup &wakeup;
-    EventRing<CallerEvent> &callers;
-    EventRing<AttemptEvent> &attempts;
-    ControlInbox &control;
-    UpstreamPort &upstreams;
+    DecisionPorts ports;
     SystemClock clock;
     SeededRandom random;
     TimerService timers;
     Dispatcher dispatcher;
+    LedgerCoordinator ledger;
     Declaration declaration;
     ControlState state;
     std::unordered_map<CallId, OpenCall> calls;
     HttpResponse winningResponse; ///< of the attempt being reported
-    CallId lastCall;
     std::atomic<bool> stopping{false};
     std::atomic<bool> refusing{false};
     std::atomic<std::size_t> open{0};
--- a/src/entry/lookup.cpp
+++ b/src/entry/lookup.cpp
@@ -1,34 +1,26 @@
 #include "entry/lookup.h"
 
 #include "membership/domainorder.h"
+#include "requests/periodclock.h"
+#include "requests/requestidentity.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/json.hpp>
-#include <cstdio>
 
 namespace bronzeshed {
 
 namespace {
 
 constexpr unsigned RandomBits = 22;
-constexpr std::int64_t PeriodMs = 60000;
+constexpr std::int64_t PeriodMs = std::chrono::milliseconds(PeriodClock::Length).count();
 
 } // namespace
 
-std::string incarnationText(Incarnation incarnation)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx",
-                  static_cast<unsigned long long>(incarnation.value()));
-    return text.data();
-}
-
 std::string makeTicket(const Member &member, std::int64_t nowMs)
 {
     const auto startMs = static_cast<std::int64_t>(member.incarnation.value() >> RandomBits);
     const std::int64_t period = std::max<std::int64_t>(0, (nowMs - startMs) / PeriodMs);
-    return incarnationText(member.incarnation) + "-" + std::to_string(period);
+    return incarnationDigits(member.incarnation) + "-" + std::to_string(period);
 }
 
 HttpResponse makeLookupResponse(const ClassName &className, const ServiceName &service,
--- a/src/entry/lookup.h
+++ b/src/entry/lookup.h
@@ -13,9 +13,6 @@
 /** Entries named in a lookup answer at most. */
 constexpr std::size_t LookupEntries = 3;
 
-/** Text of an incarnation in tickets: 16 hex digits. */
-std::string incarnationText(Incarnation incarnation);
-
 /** Ticket that an entry's lookup answer gives for @p member at wall-clock time @p nowMs. */
 std::string makeTicket(const Member &member, std::int64_t nowMs);
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -2,7 +2,10 @@
 #include "base/program.h"
 #include "entry/decisionloop.h"
 #include "rpc/agentlink.h"
+#include "rpc/ledgerclient.h"
+#include "rpc/ledgerserver.h"
 
+#include <cstdlib>
 #include <iostream>
 #include <thread>
 
@@ -14,11 +17,24 @@
 constexpr std::size_t AttemptsPerCall = 2;
 constexpr unsigned IncarnationRandomBits = 22;
 constexpr std::chrono::milliseconds TickPeriod{100};
+/** Exit code after a second signal, which may have cut off requests. */
+constexpr int ExitImmediate = 3;
+
+/** Where other entries ask; by default the address for callers with a port of the system's choice.
+ */
+Endpoint ledgerEndpoint(const Settings &settings)
+{
+    if (settings.text("ledger-listen").empty()) {
+        return {settings.endpoint("listen").host, 0};
+    }
+    return settings.endpoint("ledger-listen");
+}
 
 void checkSettings(const Settings &settings)
 {
     settings.endpoint("listen");
     settings.endpoint("agent");
+    ledgerEndpoint(settings);
     settings.milliseconds("drain-ms", 0, 600000);
 }
 
@@ -51,12 +67,18 @@
     Wakeup wakeup;
     EventRing<CallerEvent> callerRing(MaxCalls, wakeup);
     EventRing<AttemptEvent> attemptRing(MaxCalls * AttemptsPerCall, wakeup);
-    CallerPort callerPort(callerRing);
+    EventRing<CallId> departureRing(MaxCalls, wakeup);
+    EventRing<LedgerQuestion> questionRing(MaxCalls, wakeup);
+    EventRing<LedgerResult> resultRing(LedgerClient::MaxQueries, wakeup);
+    CallerPort callerPort(callerRing, departureRing);
     HttpServer server(settings.endpoint("listen"), HttpLimits{}, callerPort);
+    LedgerServer ledgerServer(ledgerEndpoint(settings), questionRing);
+    LedgerClient ledgerClient(resultRing);
 
     EntryStatus status;
     status.incarnation = makeIncarnation();
     status.callerEndpoint = server.localEndpoint();
+    status.ledgerEndpoint = ledgerServer.localEndpoint();
     ControlInbox control(status, wakeup);
     UpstreamPort upstreams(ConnectionPoolLimits{}, attemptRing);
 
@@ -64,7 +86,10 @@
     options.dispatcher.region = RegionName(settings.text("region"));
     options.dispatcher.zone = ZoneName(settings.text("zone"));
     options.dispatcher.maxCalls = MaxCalls;
-    DecisionLoop decisions(options, wakeup, callerRing, attemptRing, control, upstreams);
+    options.incarnation = status.incarnation;
+    DecisionLoop decisions(options,
+                           {wakeup, callerRing, departureRing, attemptRing, questionRing,
+                            resultRing, control, upstreams, ledgerServer, ledgerClient});
     std::thread decisionThread([&decisions] { decisions.run(); });
     AgentLink link(settings.endpoint("agent"), control);
     std::cout << "listening " << server.localEndpoint().toString() << std::endl;
@@ -80,10 +105,16 @@
                     return decisions.openCalls() == 0 && server.pendingRequests() == 0;
                 });
     LogLine("drain_ended").add("open_calls", decisions.openCalls()).add("immediate", immediate);
+    if (immediate) {
+        // Joining the threads would wait for the agent's answer.
+        std::_Exit(ExitImmediate);
+    }
     link.stop();
     server.stop();
     decisions.stop();
     decisionThread.join();
+    ledgerServer.stop();
+    ledgerClient.stop();
     upstreams.stop();
     return 0;
 }
@@ -100,6 +131,7 @@
         {"zone", "", "availability zone of this instance", true},
         {"listen", "", "address where callers connect", true},
         {"agent", "", "address of this instance's agent", true},
+        {"ledger-listen", "", "address where other entries ask about request ids"},
         {"drain-ms", "15000", "how long a leaving entry goes on serving"},
     };
     Settings settings("bronzeshed-entry", "Serves callers of one entry instance.", specs);
--- a/src/requests/outcome.cpp
+++ b/src/requests/outcome.cpp
@@ -34,6 +34,7 @@
     ReasonText{Reason::UpstreamTimedOut, "upstream-timed-out", RepeatSameId},
     ReasonText{Reason::CallerLeft, "caller-left", RepeatSameId},
     ReasonText{Reason::Fenced, "fenced", "send it again under a new id"},
+    ReasonText{Reason::InProgress, "in-progress", RepeatSameId},
     ReasonText{Reason::AnswerExpired, "answer-expired", "ask the service for its state"},
     ReasonText{Reason::OwnerUnreachable, "owner-unreachable", "ask the service for its state"},
     ReasonText{Reason::PeriodExpired, "period-expired", "ask the service for its state"},
@@ -80,6 +81,26 @@
     return textOf(reason).name;
 }
 
+Outcome outcomeFromName(std::string_view name)
+{
+    for (const Outcome outcome : {Outcome::Answered, Outcome::NotRun, Outcome::Invalid}) {
+        if (outcomeName(outcome) == name) {
+            return outcome;
+        }
+    }
+    return Outcome::Unknown;
+}
+
+Reason reasonFromName(std::string_view name)
+{
+    for (const ReasonText &text : ReasonTexts) {
+        if (text.name == name) {
+            return text.reason;
+        }
+    }
+    return Reason::None;
+}
+
 std::string_view reasonRemedy(Reason reason)
 {
     return textOf(reason).remedy;
--- a/src/requests/outcome.h
+++ b/src/requests/outcome.h
@@ -31,6 +31,7 @@
     UpstreamTimedOut,
     CallerLeft,
     Fenced,
+    InProgress,
     AnswerExpired,
     OwnerUnreachable,
     PeriodExpired,
@@ -46,6 +47,10 @@
 std::string_view outcomeName(Outcome outcome);
 /** Value of the Bronzeshed-Reason header. */
 std::string_view reasonName(Reason reason);
+/** Outcome with a header value; Unknown for a value of a newer version. */
+Outcome outcomeFromName(std::string_view name);
+/** Reason with a header value; None for a value of a newer version. */
+Reason reasonFromName(std::string_view name);
 /** Value of the Bronzeshed-Remedy header: what the caller can do. */
 std::string_view reasonRemedy(Reason reason);
 
--- /dev/null
+++ b/src/requests/periodclock.cpp
@@ -0,0 +1,25 @@
+#include "requests/periodclock.h"
+
+namespace bronzeshed {
+
+PeriodClock::PeriodClock(const Clock &clock, TimePoint start)
+    : clock(clock)
+    , start(start)
+{
+}
+
+std::uint64_t PeriodClock::current() const
+{
+    return static_cast<std::uint64_t>((this->clock.now() - this->start) / Length);
+}
+
+PeriodCheck PeriodClock::check(std::uint64_t period) const
+{
+    const std::uint64_t now = this->current();
+    if (period > now + MaxAhead) {
+        return PeriodCheck::NotBegun;
+    }
+    return period + MaxAge < now ? PeriodCheck::Expired : PeriodCheck::Acceptable;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/rpc/ledgerserver.cpp
@@ -0,0 +1,127 @@
+#include "rpc/ledgerserver.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+#include "rpc/ledgerconversion.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <unordered_map>
+
+namespace bronzeshed {
+
+namespace {
+
+/** Questions and replies under way at most. More questions are refused, which is `unknown`. */
+constexpr std::size_t MaxQuestions = 4096;
+
+/** Questions that wait for the reply of the decision thread. */
+class LedgerService final : public rpc::Ledger::Server
+{
+public:
+    explicit LedgerService(EventRing<LedgerQuestion> &questions)
+        : questions(questions)
+    {
+    }
+
+    kj::Promise<void> resolve(ResolveContext context) override
+    {
+        KJ_REQUIRE(this->waiting.size() < MaxQuestions, "too many questions are waiting");
+        const auto params = context.getParams();
+        this->last = this->last.next();
+        LedgerQuestion question{this->last, RequestId(params.getId().cStr()), params.getDigest()};
+        KJ_REQUIRE(this->questions.tryPush(question), "the ring to the decision thread is full");
+        auto pair = kj::newPromiseAndFulfiller<Resolution>();
+        this->waiting.emplace(this->last, kj::mv(pair.fulfiller));
+        return pair.promise.then([context](Resolution resolution) mutable {
+            writeResolution(context.getResults().initResolution(), resolution);
+        });
+    }
+
+    void deliver(LedgerReply reply)
+    {
+        const auto found = this->waiting.find(reply.question);
+        if (found != this->waiting.end()) {
+            found->second->fulfill(kj::mv(reply.resolution));
+            this->waiting.erase(found);
+        }
+    }
+
+private:
+    EventRing<LedgerQuestion> &questions;
+    LedgerQuestionId last;
+    std::unordered_map<LedgerQuestionId, kj::Own<kj::PromiseFulfiller<Resolution>>> waiting;
+};
+
+} // namespace
+
+LedgerServer::LedgerServer(const Endpoint &endpoint, EventRing<LedgerQuestion> &questions)
+    : questions(questions)
+    , replies(MaxQuestions, this->wakeup)
+{
+    std::promise<std::uint16_t> ready;
+    auto port = ready.get_future();
+    this->thread = std::thread([this, endpoint, &ready] { this->run(endpoint, ready); });
+    try {
+        this->bound = {endpoint.host, port.get()};
+    } catch (const Error &) {
+        this->thread.join();
+        throw;
+    }
+}
+
+LedgerServer::~LedgerServer()
+{
+    this->stop();
+}
+
+void LedgerServer::reply(LedgerReply reply)
+{
+    // The ring holds the reply to every question that may be waiting.
+    if (!this->replies.tryPush(reply)) {
+        LogLine("ledger_reply_lost", LogLevel::Error).add("question", reply.question.value());
+    }
+}
+
+void LedgerServer::stop()
+{
+    this->stopping.store(true);
+    this->wakeup.notify();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void LedgerServer::run(const Endpoint &endpoint, std::promise<std::uint16_t> &ready)
+{
+    auto io = kj::setupAsyncIo();
+    kj::Own<kj::ConnectionReceiver> listener;
+    try {
+        auto address = io.provider->getNetwork().parseAddress(endpoint.host, endpoint.port);
+        listener = address.wait(io.waitScope)->listen();
+        ready.set_value(static_cast<std::uint16_t>(listener->getPort()));
+    } catch (const kj::Exception &error) {
+        ready.set_exception(std::make_exception_ptr(
+            Error("cannot listen on " + endpoint.toString() + ": " + error.getDescription().cStr(),
+                  "choose a free address and port of this instance")));
+        return;
+    }
+    auto owned = kj::heap<LedgerService>(this->questions);
+    LedgerService &service = *owned;
+    capnp::TwoPartyServer server(kj::mv(owned));
+    auto serving = server.listen(*listener).eagerlyEvaluate([](kj::Exception &&error) {
+        LogLine("rpc_listener_failed", LogLevel::Error).add("error", error.getDescription().cStr());
+    });
+    auto wakeups = io.lowLevelProvider->wrapInputFd(this->wakeup.descriptor(),
+                                                    kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    while (!this->stopping.load()) {
+        std::uint64_t count = 0;
+        wakeups->read(&count, sizeof count).wait(io.waitScope);
+        this->wakeup.clear();
+        while (auto reply = this->replies.tryPop()) {
+            service.deliver(std::move(*reply));
+        }
+    }
+}
+
+} // namespace bronzeshed
