--- a/src/http/beastmessage.cpp
+++ b/src/http/beastmessage.cpp
@@ -10,12 +10,15 @@
 
 namespace {
 
-/** Headers that describe one connection and are not passed on. */
+/**
+ * Headers that describe one connection and are not passed on. Expect is one of them because the
+ * whole request is sent at once.
+ */
 bool isConnectionHeader(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 8> Names{
-        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-        "TE",         "Trailer",    "Upgrade",          "Content-Length",
+    static constexpr std::array<std::string_view, 9> Names{
+        "Connection", "Keep-Alive",     "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer",
+        "Upgrade",    "Content-Length", "Expect",
     };
     return std::any_of(Names.begin(), Names.end(),
                        [&](std::string_view known) { return equalsIgnoringCase(known, name); });
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -1,17 +1,19 @@
 #include "http/connectionpool.h"
 
 #include "http/beastmessage.h"
+#include "http/pooledconnection.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
-#include <sys/socket.h>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 
@@ -24,36 +26,14 @@
 
 namespace {
 
-/** One TCP connection with its read buffer. */
-class Connection
-{
-public:
-    Connection(asio::io_context &context, std::atomic<std::size_t> &count)
-        : stream(context)
-        , count(count)
-    {
-        ++this->count;
-    }
-    ~Connection() { --this->count; }
-    Connection(const Connection &) = delete;
-    Connection &operator=(const Connection &) = delete;
-
-    /** Whether the server has neither closed nor sent anything since the last response. */
-    bool isQuiet()
-    {
-        char byte = 0;
-        const auto size
-            = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    TimePoint lastUse;
-
-private:
-    std::atomic<std::size_t> &count;
-};
+/** Consecutive timeouts after which the idle connections of an endpoint are taken for silent. */
+constexpr unsigned MaxTimeouts = 2;
+/**
+ * The dispatcher gives an attempt up at the same deadline and may be a little earlier; a
+ * cancellation that close to the deadline is a timeout.
+ */
+constexpr std::chrono::milliseconds DeadlineTolerance{20};
+constexpr std::chrono::seconds SweepPeriod{5};
 
 } // namespace
 
@@ -63,20 +43,27 @@
     explicit Implementation(const ConnectionPoolLimits &limits)
         : limits(limits)
         , work(asio::make_work_guard(context))
+        , sweepTimer(context)
     {
     }
 
     class Exchange;
 
-    std::unique_ptr<Connection> takeIdle(const Endpoint &endpoint, ConnectionUse use);
-    void putIdle(const Endpoint &endpoint, std::unique_ptr<Connection> connection);
+    std::unique_ptr<PooledConnection> takeIdle(const Endpoint &endpoint, ConnectionUse use);
+    void putIdle(const Endpoint &endpoint, std::unique_ptr<PooledConnection> connection);
+    void noteTimeout(const Endpoint &endpoint);
+    void noteAnswer(const Endpoint &endpoint) { this->timeouts.erase(endpoint); }
+    void scheduleSweep();
+    void sweep();
 
     ConnectionPoolLimits limits;
     std::atomic<std::size_t> connections{0};
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
+    asio::steady_timer sweepTimer;
     std::thread thread;
-    std::map<Endpoint, std::deque<std::unique_ptr<Connection>>> idle;
+    std::map<Endpoint, unsigned> timeouts; ///< since the last answer
+    std::map<Endpoint, std::deque<std::unique_ptr<PooledConnection>>> idle;
     std::unordered_map<AttemptId, std::shared_ptr<Exchange>> exchanges;
 };
 
@@ -103,7 +90,9 @@
 private:
     void connect();
     void write();
-    void read();
+    void readHeader();
+    void handleHeader();
+    void readBody();
     void succeed();
     void fail(beast::error_code error);
     void finish(ExchangeResult result);
@@ -117,19 +106,19 @@
     bool headOnly;
     BeastRequest message;
     std::optional<http::response_parser<http::string_body>> parser;
-    std::unique_ptr<Connection> connection;
+    std::unique_ptr<PooledConnection> connection;
     bool writing = false;
     bool cancelled = false;
 };
 
-std::unique_ptr<Connection> ConnectionPool::Implementation::takeIdle(const Endpoint &endpoint,
-                                                                     ConnectionUse use)
+std::unique_ptr<PooledConnection> ConnectionPool::Implementation::takeIdle(const Endpoint &endpoint,
+                                                                           ConnectionUse use)
 {
     auto &queue = this->idle[endpoint];
     const TimePoint now = std::chrono::steady_clock::now();
     while (!queue.empty()) {
         // The most recently used connection is the least likely to be dead.
-        std::unique_ptr<Connection> connection = std::move(queue.back());
+        std::unique_ptr<PooledConnection> connection = std::move(queue.back());
         queue.pop_back();
         const Duration age = now - connection->lastUse;
         if (age > this->limits.idleTimeout || !connection->isQuiet()) {
@@ -145,7 +134,7 @@
 }
 
 void ConnectionPool::Implementation::putIdle(const Endpoint &endpoint,
-                                             std::unique_ptr<Connection> connection)
+                                             std::unique_ptr<PooledConnection> connection)
 {
     auto &queue = this->idle[endpoint];
     connection->lastUse = std::chrono::steady_clock::now();
@@ -156,6 +145,35 @@
     }
 }
 
+void ConnectionPool::Implementation::noteTimeout(const Endpoint &endpoint)
+{
+    if (++this->timeouts[endpoint] >= MaxTimeouts) {
+        this->idle.erase(endpoint);
+    }
+}
+
+void ConnectionPool::Implementation::scheduleSweep()
+{
+    this->sweepTimer.expires_after(SweepPeriod);
+    this->sweepTimer.async_wait([this](beast::error_code error) {
+        if (!error) {
+            this->sweep();
+            this->scheduleSweep();
+        }
+    });
+}
+
+void ConnectionPool::Implementation::sweep()
+{
+    const TimePoint oldest = std::chrono::steady_clock::now() - this->limits.idleTimeout;
+    for (auto &[endpoint, queue] : this->idle) {
+        std::erase_if(queue, [&](const std::unique_ptr<PooledConnection> &connection) {
+            return connection->lastUse < oldest || !connection->isQuiet();
+        });
+    }
+    std::erase_if(this->idle, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void ConnectionPool::Implementation::Exchange::start()
 {
     this->pool->exchanges.emplace(this->id, this->shared_from_this());
@@ -174,7 +192,8 @@
 
 void ConnectionPool::Implementation::Exchange::connect()
 {
-    this->connection = std::make_unique<Connection>(this->pool->context, this->pool->connections);
+    this->connection
+        = std::make_unique<PooledConnection>(this->pool->context, this->pool->connections);
     const TimePoint limit = std::chrono::steady_clock::now() + this->pool->limits.connectTimeout;
     this->connection->stream.expires_at(std::min(limit, this->deadline));
     const tcp::endpoint address(asio::ip::make_address(this->endpoint.host), this->endpoint.port);
@@ -200,15 +219,46 @@
                               self->fail(error);
                               return;
                           }
-                          self->read();
+                          self->readHeader();
                       });
 }
 
-void ConnectionPool::Implementation::Exchange::read()
+void ConnectionPool::Implementation::Exchange::readHeader()
 {
     this->parser.emplace();
     this->parser->body_limit(this->pool->limits.bodyBytes);
     this->parser->skip(this->headOnly);
+    http::async_read_header(
+        this->connection->stream, this->connection->buffer, *this->parser,
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+            if (error) {
+                self->fail(error);
+                return;
+            }
+            self->handleHeader();
+        });
+}
+
+void ConnectionPool::Implementation::Exchange::handleHeader()
+{
+    constexpr unsigned SwitchingProtocols = 101;
+    constexpr unsigned FirstFinalStatus = 200;
+    const unsigned status = this->parser->get().result_int();
+    if (status < FirstFinalStatus && status != SwitchingProtocols) {
+        // An interim response such as 100 Continue is not the answer.
+        this->readHeader();
+        return;
+    }
+    if (status == SwitchingProtocols || this->parser->need_eof()) {
+        // Without a length or chunks, a truncated response looks whole.
+        this->fail(http::error::partial_message);
+        return;
+    }
+    this->readBody();
+}
+
+void ConnectionPool::Implementation::Exchange::readBody()
+{
     http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                          if (error) {
@@ -221,12 +271,8 @@
 
 void ConnectionPool::Implementation::Exchange::succeed()
 {
-    if (this->parser->need_eof()) {
-        // Without a length or chunks, a truncated response looks whole.
-        this->fail(http::error::partial_message);
-        return;
-    }
     BeastResponse response = this->parser->release();
+    this->pool->noteAnswer(this->endpoint);
     // Bytes after the response would be taken for the answer of the next exchange.
     const bool reusable = response.keep_alive() && this->connection->buffer.size() == 0;
     if (reusable && !this->cancelled) {
@@ -247,6 +293,11 @@
     } else {
         result.status = ExchangeStatus::Failed;
     }
+    const bool atDeadline = std::chrono::steady_clock::now() + DeadlineTolerance >= this->deadline;
+    if (result.status == ExchangeStatus::TimedOut
+        || (result.status == ExchangeStatus::Cancelled && atDeadline)) {
+        this->pool->noteTimeout(this->endpoint);
+    }
     this->finish(std::move(result));
 }
 
@@ -270,6 +321,7 @@
 ConnectionPool::ConnectionPool(const ConnectionPoolLimits &limits)
     : implementation(std::make_shared<Implementation>(limits))
 {
+    this->implementation->scheduleSweep();
     this->implementation->thread
         = std::thread([raw = this->implementation.get()] { raw->context.run(); });
 }
@@ -316,6 +368,7 @@
     }
     asio::post(this->implementation->context, [raw = this->implementation.get()] {
         raw->idle.clear();
+        raw->sweepTimer.cancel();
         const auto running = raw->exchanges;
         for (const auto &[id, exchange] : running) {
             exchange->cancel();
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -72,6 +72,10 @@
         runCancellable(context, stream, cancelled);
     }
     await(context, error, "no whole response from " + endpoint.toString(), true);
+    if (parser.need_eof()) {
+        // Without a length or chunks, a truncated response looks whole.
+        throw HttpClientError("response without length from " + endpoint.toString(), true);
+    }
     return fromBeastResponse(parser.release());
 }
 
--- /dev/null
+++ b/src/http/serversession.h
@@ -0,0 +1,79 @@
+#ifndef BRONZESHED_HTTP_SERVERSESSION_H
+#define BRONZESHED_HTTP_SERVERSESSION_H
+
+#include "base/clock.h"
+#include "http/serverstate.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bronzeshed {
+
+/** One client connection; handles one request at a time. For adapter sources only. */
+class ServerSession : public std::enable_shared_from_this<ServerSession>
+{
+public:
+    ServerSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<ServerState> server)
+        : server(std::move(server))
+        , stream(std::move(socket))
+        , number(++this->server->lastConnection)
+    {
+        this->server->sessions.insert(this);
+        this->server->connections.store(this->server->sessions.size());
+    }
+
+    ~ServerSession()
+    {
+        this->setPending(false);
+        this->server->sessions.erase(this);
+        this->server->connections.store(this->server->sessions.size());
+    }
+
+    ServerSession(const ServerSession &) = delete;
+    ServerSession &operator=(const ServerSession &) = delete;
+
+    void readNext();
+    void close();
+    void respond(std::uint64_t serial, const HttpResponse &response);
+    void setGoneCallback(std::uint64_t serial, std::function<void()> callback);
+    void drop(std::uint64_t serial);
+
+private:
+    class Exchange;
+
+    void readHeader();
+    void readBody();
+    void dispatch();
+    void rejectRequest(unsigned status, const std::string &problem, const std::string &remedy);
+    void write(const HttpResponse &response);
+    void finishWrite(boost::beast::error_code error, bool keepAlive);
+    void discardUntilClosed();
+    void watchClient();
+    void clientGone();
+    void setPending(bool value);
+
+    std::shared_ptr<ServerState> server;
+    boost::beast::tcp_stream stream;
+    std::uint64_t number;
+    boost::beast::flat_buffer buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
+    boost::beast::http::response<boost::beast::http::string_body> response;
+    std::function<void()> goneCallback;
+    std::uint64_t serial = 0;
+    bool clientKeepsAlive = true;
+    bool headOnly = false;
+    bool pending = false; ///< from the first byte of a request to the last of its response
+    bool inFlight = false; ///< the handler has the request and has not responded
+    TimePoint requestStart;
+    bool watching = false;
+};
+
+} // namespace bronzeshed
+
+#endif
