--- a/src/rpc/ledgerconversion.cpp
+++ b/src/rpc/ledgerconversion.cpp
@@ -66,7 +66,8 @@
         headers[i].setName(answer.headers[i].first);
         headers[i].setValue(answer.headers[i].second);
     }
-    message.setBody(kj::StringPtr(answer.body).asBytes());
+    // Not through kj::StringPtr, which ends at the first zero byte.
+    message.setBody(kj::arrayPtr(answer.body.data(), answer.body.size()).asBytes());
 }
 
 } // namespace
--- /dev/null
+++ b/tests/entry/ledgercoordinatortest.cpp
@@ -0,0 +1,168 @@
+#include "entry/ledgercoordinator.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+
+namespace {
+
+class FakeExchange : public HttpExchange
+{
+public:
+    void respond(HttpResponse response) override { this->responses.push_back(std::move(response)); }
+    void onClientGone(std::function<void()>) override { }
+
+    std::vector<HttpResponse> responses;
+};
+
+class FakePeers : public LedgerPeers
+{
+public:
+    bool ask(LedgerQuery query) override
+    {
+        this->queries.push_back(std::move(query));
+        return true;
+    }
+
+    std::vector<LedgerQuery> queries;
+};
+
+struct Fixture
+{
+    /** Sends a call; its exchange is the last of this->exchanges. */
+    bool admit(Incarnation incarnation, char nonce)
+    {
+        this->exchanges.push_back(std::make_shared<FakeExchange>());
+        this->lastCall = this->lastCall.next();
+        return this->coordinator.admit({this->lastCall, identity(incarnation, nonce), 5,
+                                        this->clock.now() + std::chrono::seconds(2),
+                                        this->exchanges.back()},
+                                       this->members);
+    }
+
+    static RequestIdentity identity(Incarnation incarnation, char nonce)
+    {
+        return {incarnation, 0, std::string(16, nonce)};
+    }
+
+    /** "outcome/reason" of the one response to call @p index, or how many there were. */
+    std::string told(std::size_t index) const
+    {
+        const auto &responses = this->exchanges.at(index)->responses;
+        if (responses.size() != 1) {
+            return std::to_string(responses.size()) + " responses";
+        }
+        const HttpHeaders &headers = responses.front().headers;
+        return headers.find("Bronzeshed-Outcome").value_or("") + "/"
+            + headers.find("Bronzeshed-Reason").value_or("");
+    }
+
+    void pass(Duration time)
+    {
+        this->clock.advance(time);
+        this->timers.fire(this->clock.now());
+    }
+
+    static constexpr Incarnation Own{1};
+    static constexpr Incarnation Other{2};
+    ManualClock clock;
+    TimerService timers;
+    FakePeers peers;
+    LedgerCoordinator coordinator{this->clock, this->timers, Own, LedgerLimits{}, this->peers};
+    std::vector<Member> members;
+    std::vector<std::shared_ptr<FakeExchange>> exchanges;
+    CallId lastCall;
+};
+
+Member memberWithLedger(Incarnation incarnation)
+{
+    Member member;
+    member.incarnation = incarnation;
+    member.ledgerEndpoint = {"127.0.0.1", 9};
+    return member;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ledger_coordinator, Fixture)
+
+// Guards P4 and P2: a repeat that runs, that is answered before the outcome is known, or that gets
+// another response than the first.
+BOOST_AUTO_TEST_CASE(repeats_get_the_response_of_the_first)
+{
+    BOOST_TEST(this->admit(Own, 'a'));
+    BOOST_TEST(!this->admit(Own, 'a'));
+    BOOST_TEST(this->told(1) == "0 responses");
+    HttpResponse response = makeTextResponse(201, "made");
+    response.headers.set("Bronzeshed-Outcome", "answered");
+    this->coordinator.complete(identity(Own, 'a'), Outcome::Answered, Reason::None, response);
+    BOOST_TEST(!this->admit(Own, 'a'));
+    for (const std::size_t repeat : {1, 2}) {
+        BOOST_TEST(this->told(repeat) == "answered/");
+        BOOST_TEST(this->exchanges.at(repeat)->responses.front().status == 201U);
+        BOOST_TEST(this->exchanges.at(repeat)->responses.front().body == "made");
+    }
+    BOOST_TEST(this->coordinator.waitingCalls() == 0U);
+}
+
+// Guards P3 against a refusal that is forgotten, so that a delayed duplicate runs after not-run.
+BOOST_AUTO_TEST_CASE(a_refused_id_stays_refused)
+{
+    BOOST_TEST(this->admit(Own, 'a'));
+    this->coordinator.complete(identity(Own, 'a'), Outcome::NotRun, Reason::Draining, {});
+    BOOST_TEST(!this->admit(Own, 'a'));
+    BOOST_TEST(this->told(1) == "not-run/draining");
+}
+
+// Guards against a repeat that outlives its own deadline, or is answered twice.
+BOOST_AUTO_TEST_CASE(a_waiting_repeat_keeps_its_deadline)
+{
+    this->admit(Own, 'a');
+    this->admit(Own, 'a');
+    this->pass(std::chrono::seconds(2));
+    BOOST_TEST(this->told(1) == "unknown/in-progress");
+    this->coordinator.complete(identity(Own, 'a'), Outcome::Unknown, Reason::UpstreamFailed, {});
+    BOOST_TEST(this->told(1) == "unknown/in-progress");
+}
+
+// Guards P4 at a second entry: an id of another process must never run here, and only its owner may
+// say not-run.
+BOOST_AUTO_TEST_CASE(ids_of_other_entries_are_resolved_by_their_owner)
+{
+    BOOST_TEST(!this->admit(Other, 'a'));
+    BOOST_TEST(this->told(0) == "unknown/owner-unreachable");
+    this->members.push_back(memberWithLedger(Other));
+    for (const char nonce : {'b', 'c', 'd', 'e'}) {
+        BOOST_TEST(!this->admit(Other, nonce));
+    }
+    BOOST_REQUIRE(this->peers.queries.size() == 4U);
+    BOOST_TEST(this->peers.queries[0].id.value() == identity(Other, 'b').toId().value());
+    BOOST_TEST(this->peers.queries[0].digest == 5U);
+    const RecordedOutcome notRun{Outcome::NotRun, Reason::Fenced, nullptr};
+    const auto tell = [this](std::size_t query, std::optional<Resolution> resolution) {
+        this->coordinator.takeResult({this->peers.queries.at(query).call, std::move(resolution)});
+    };
+    tell(0, Resolution{ResolutionKind::Fenced, notRun});
+    tell(1, Resolution{ResolutionKind::InProgress, notRun});
+    tell(2, std::nullopt);
+    this->pass(LedgerCallTimeout);
+    tell(3, Resolution{ResolutionKind::Fenced, notRun});
+    BOOST_TEST(this->told(1) == "not-run/fenced");
+    BOOST_TEST(this->told(2) == "unknown/answer-expired");
+    BOOST_TEST(this->told(3) == "unknown/owner-unreachable");
+    BOOST_TEST(this->told(4) == "unknown/owner-unreachable");
+}
+
+// Guards P4 against a fence that does not hold: a request that arrives after its repeat was told
+// not-run must not run.
+BOOST_AUTO_TEST_CASE(a_fenced_id_never_runs)
+{
+    const LedgerQuestion question{LedgerQuestionId(1), identity(Own, 'a').toId(), 5};
+    BOOST_CHECK(this->coordinator.resolve(question).kind == ResolutionKind::Fenced);
+    BOOST_TEST(!this->admit(Own, 'a'));
+    BOOST_TEST(this->told(0) == "not-run/fenced");
+    const LedgerQuestion malformed{LedgerQuestionId(2), RequestId("x"), 5};
+    BOOST_CHECK(this->coordinator.resolve(malformed).kind == ResolutionKind::Invalid);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
