Serve metrics, health and readiness from entry and agent

Probes of ejected upstreams now go out through the connection pool, so that a trial call no longer decides alone. The entry's threads and rings move from main() to EntryProcess.

--- /dev/null
+++ b/src/agent/agentmetrics.h
@@ -0,0 +1,26 @@
+#ifndef BRONZESHED_AGENT_AGENTMETRICS_H
+#define BRONZESHED_AGENT_AGENTMETRICS_H
+
+#include "agent/agentstate.h"
+#include "metrics/adminport.h"
+#include "rpc/controlcounters.h"
+
+namespace bronzeshed {
+
+/** Metrics and readiness of an agent. */
+class AgentMetrics : public AdminSource
+{
+public:
+    AgentMetrics(AgentState &state, const ControlCounters &counters);
+
+    std::string metricsText() override;
+    std::string notReadyReason() override;
+
+private:
+    AgentState &state;
+    const ControlCounters &counters;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,3 +1,4 @@
+#include "agent/agentmetrics.h"
 #include "agent/gossip.h"
 #include "agent/instancelistreader.h"
 #include "agent/operatorservice.h"
@@ -25,6 +26,7 @@
     settings.endpoint("store");
     settings.endpoint("instance-list");
     settings.milliseconds("totals-period-ms", 100, 86400000);
+    settings.endpoint("admin-listen");
     OperatorService::checkSettings(settings);
 }
 
@@ -80,11 +82,16 @@
     Worker storeThread("store", [&] { return storeReader.step(); });
     PeerClient peers(gossip, newsWakeup, counters);
     OperatorService operators(state, settings, PlatformTimeout);
+    AgentMetrics metrics(state, counters);
+    AdminPort adminPort(metrics);
+    HttpServer admin(settings.endpoint("admin-listen"), HttpLimits{}, adminPort);
+    std::cout << "admin-listening " << admin.localEndpoint().toString() << std::endl;
     std::cout << "operator-listening " << operators.localEndpoint().toString() << std::endl;
 
     runUntilStopped(signals, state, counters,
                     settings.milliseconds("totals-period-ms", 100, 86400000));
     stopping.store(true);
+    admin.stop();
     operators.stop();
     peers.stop();
     storeThread.stop();
@@ -107,6 +114,7 @@
         {"listen", "", "address for RPC from the entry and from other agents", true},
         {"store", "", "address of the platform's key-value service", true},
         {"instance-list", "", "address of the platform's instance list", true},
+        {"admin-listen", "127.0.0.1:0", "address of metrics, health and readiness"},
         {"totals-period-ms", "60000", "how often the totals of the control traffic are logged"},
     };
     for (const SettingSpec &spec : OperatorService::settingSpecs()) {
--- /dev/null
+++ b/src/entry/callmetrics.cpp
@@ -0,0 +1,95 @@
+#include "entry/callmetrics.h"
+
+#include "base/logline.h"
+
+namespace bronzeshed {
+
+namespace {
+
+std::string_view statusName(AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Answered:
+        return "answered";
+    case AttemptStatus::NotStarted:
+        return "not-started";
+    case AttemptStatus::NotSent:
+        return "not-sent";
+    case AttemptStatus::Failed:
+        return "failed";
+    case AttemptStatus::TimedOut:
+        return "timed-out";
+    case AttemptStatus::Cancelled:
+        return "cancelled";
+    }
+    return "failed";
+}
+
+} // namespace
+
+CallMetrics::CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion)
+    : hub(hub)
+    , clock(clock)
+    , ownRegion(std::move(ownRegion))
+{
+}
+
+void CallMetrics::attemptStarted(const AttemptOrder &order, std::size_t requestBytes)
+{
+    Running attempt;
+    attempt.upstream = order.upstream.id;
+    attempt.start = this->clock.now();
+    attempt.hedge = order.hedge;
+    attempt.retry = order.retry;
+    attempt.crossRegion = order.upstream.region != this->ownRegion;
+    attempt.requestBytes = requestBytes;
+    this->running.emplace(order.attempt, std::move(attempt));
+}
+
+void CallMetrics::attemptEnded(AttemptId id, const AttemptReport &report, std::size_t responseBytes)
+{
+    const auto found = this->running.find(id);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running &attempt = found->second;
+    AttemptMeasured measured;
+    measured.upstream = attempt.upstream;
+    measured.status = statusName(report.status);
+    measured.latency = this->clock.now() - attempt.start;
+    measured.retry = attempt.retry;
+    measured.hedge = attempt.hedge;
+    if (attempt.crossRegion) {
+        measured.crossRegionBytes = ByteCount(attempt.requestBytes + responseBytes);
+    }
+    this->running.erase(found);
+    this->hub.record(std::move(measured));
+}
+
+void CallMetrics::probeSent(const UpstreamId &upstream, std::size_t bytes)
+{
+    this->hub.record(ProbeMeasured{upstream, ByteCount(bytes)});
+}
+
+void CallMetrics::callFinished(const CallHeaders &headers, const ClassTarget *target,
+                               TimePoint arrival, Outcome outcome, Reason reason)
+{
+    CallMeasured measured;
+    // Undeclared names share one label, or callers could make any number of time series.
+    measured.className = target == nullptr ? ClassName("undeclared") : headers.className;
+    measured.outcome = outcomeName(outcome);
+    measured.reason = reasonName(reason);
+    measured.latency = this->clock.now() - arrival;
+    measured.target = target == nullptr ? Duration::zero() : Duration(target->answerWithin);
+    if (outcome == Outcome::Unknown) {
+        LogLine("call_outcome_unknown", LogLevel::Warning)
+            .add("class", measured.className.value())
+            .add("caller", headers.caller.value())
+            .add("request_id", headers.requestId.value())
+            .add("reason", measured.reason)
+            .add("remedy", reasonRemedy(reason));
+    }
+    this->hub.record(std::move(measured));
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/entry/callmetrics.h
@@ -0,0 +1,45 @@
+#ifndef BRONZESHED_ENTRY_CALLMETRICS_H
+#define BRONZESHED_ENTRY_CALLMETRICS_H
+
+#include "config/declaration.h"
+#include "entry/callparser.h"
+#include "metrics/metricshub.h"
+#include "routing/dispatcheroutput.h"
+
+#include <unordered_map>
+
+namespace bronzeshed {
+
+/** Turns what happens to calls and attempts into metrics and log lines. Decision thread only. */
+class CallMetrics
+{
+public:
+    CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion);
+
+    void attemptStarted(const AttemptOrder &order, std::size_t requestBytes);
+    void attemptEnded(AttemptId id, const AttemptReport &report, std::size_t responseBytes);
+    void probeSent(const UpstreamId &upstream, std::size_t bytes);
+    /** @param target of the call's class, or nullptr if the class is not declared */
+    void callFinished(const CallHeaders &headers, const ClassTarget *target, TimePoint arrival,
+                      Outcome outcome, Reason reason);
+
+private:
+    struct Running
+    {
+        UpstreamId upstream;
+        TimePoint start;
+        bool hedge = false;
+        bool retry = false;
+        bool crossRegion = false;
+        std::size_t requestBytes = 0;
+    };
+
+    MetricsHub &hub;
+    const Clock &clock;
+    RegionName ownRegion;
+    std::unordered_map<AttemptId, Running> running;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -29,6 +29,7 @@
     , dispatcher(this->clock, this->random, this->timers, *this, std::make_unique<FreeSlotPolicy>(),
                  options.dispatcher)
     , ledger(this->clock, this->timers, options.incarnation, options.ledger, ports.peers)
+    , metrics(ports.metrics, this->clock, options.dispatcher.region)
 {
 }
 
@@ -66,6 +67,9 @@
         busy |= this->takeEvents(this->ports.results, [this](const LedgerResult &result) {
             this->ledger.takeResult(result);
         });
+        busy |= this->takeEvents(this->ports.probes, [this](const ProbeEvent &event) {
+            this->dispatcher.probeEnded(event.upstream, event.healthy);
+        });
         this->open.store(this->calls.size() + this->ledger.waitingCalls());
         if (busy) {
             continue;
@@ -105,6 +109,7 @@
     }
     this->state = std::move(*newer);
     this->ports.control.setConfigVersionInForce(this->state.configVersion);
+    this->configured.store(!this->declaration.classes.empty());
     this->dispatcher.update(this->declaration, this->state.upstreams);
 }
 
@@ -150,7 +155,7 @@
 {
     ParsedCall parsed = parseCallHeaders(event.request);
     if (parsed.reason != Reason::None) {
-        event.exchange->respond(makeRefusal(Outcome::Invalid, parsed.reason, parsed.detail));
+        this->refuse(event, parsed.headers, parsed.reason, parsed.detail);
         return;
     }
     CallRequest request;
@@ -161,6 +166,7 @@
     request.attempt = parsed.headers.attempt;
     OpenCall call;
     call.headers = std::move(parsed.headers);
+    call.arrival = event.arrival;
     call.deadline = this->clock.now() + request.timeLeft;
     if (this->mustRunOnce(call.headers)) {
         if (!this->admitOnce(event, call)) {
@@ -184,9 +190,8 @@
 
 Duration DecisionLoop::timeLeft(const CallerEvent &event, const CallHeaders &headers) const
 {
-    const auto target = this->declaration.classes.find(headers.className);
-    const bool known = target != this->declaration.classes.end();
-    const Duration fallback = known ? target->second.deadline : Duration::zero();
+    const ClassTarget *target = this->findTarget(headers.className);
+    const Duration fallback = target != nullptr ? Duration(target->deadline) : Duration::zero();
     const Duration given = headers.timeLeft ? Duration(*headers.timeLeft) : fallback;
     return given - (this->clock.now() - event.arrival);
 }
@@ -197,8 +202,8 @@
         // The class is not known yet. An id may name a request that ran at another entry.
         return parseRequestIdentity(headers.requestId).has_value();
     }
-    const auto target = this->declaration.classes.find(headers.className);
-    return target != this->declaration.classes.end() && !target->second.repeatable;
+    const ClassTarget *target = this->findTarget(headers.className);
+    return target != nullptr && !target->repeatable;
 }
 
 bool DecisionLoop::admitOnce(const CallerEvent &event, OpenCall &call)
@@ -206,8 +211,8 @@
     call.identity = parseRequestIdentity(call.headers.requestId);
     if (!call.identity) {
         const bool missing = call.headers.requestId.isEmpty();
-        event.exchange->respond(makeRefusal(
-            Outcome::Invalid, missing ? Reason::MissingIdentity : Reason::MalformedIdentity));
+        this->refuse(event, call.headers,
+                     missing ? Reason::MissingIdentity : Reason::MalformedIdentity, {});
         return false;
     }
     call.headers.requestId = call.identity->toId();
@@ -227,6 +232,7 @@
 
 void DecisionLoop::handleAttempt(AttemptEvent event)
 {
+    this->metrics.attemptEnded(event.attempt, event.report, event.response.body.size());
     this->winningResponse = std::move(event.response);
     this->dispatcher.attemptEnded(event.attempt, event.report);
     this->winningResponse = {};
@@ -240,6 +246,7 @@
     request.headers.set("Bronzeshed-Deadline-Ms", std::to_string(left.count()));
     request.headers.set("Bronzeshed-Depth", std::to_string(call.headers.depth));
     request.headers.set("Bronzeshed-Request-Id", call.headers.requestId.value());
+    this->metrics.attemptStarted(order, request.body.size());
     this->ports.upstreams.send(order, request);
 }
 
@@ -253,6 +260,8 @@
     const auto found = this->calls.find(id);
     const OpenCall call = std::move(found->second);
     this->calls.erase(found);
+    this->metrics.callFinished(call.headers, this->findTarget(call.headers.className), call.arrival,
+                               outcome, reason);
     HttpResponse response = outcome == Outcome::Answered
         ? makeAnswer(std::move(this->winningResponse))
         : makeRefusal(outcome, reason);
@@ -262,4 +271,38 @@
     call.exchange->respond(std::move(response));
 }
 
+bool DecisionLoop::startProbe(const ProbeOrder &order)
+{
+    this->metrics.probeSent(order.upstream.id, this->ports.upstreams.probe(order));
+    return true;
+}
+
+void DecisionLoop::refuse(const CallerEvent &event, const CallHeaders &headers, Reason reason,
+                          const std::string &detail)
+{
+    this->metrics.callFinished(headers, this->findTarget(headers.className), event.arrival,
+                               Outcome::Invalid, reason);
+    event.exchange->respond(makeRefusal(Outcome::Invalid, reason, detail));
+}
+
+const ClassTarget *DecisionLoop::findTarget(const ClassName &name) const
+{
+    const auto found = this->declaration.classes.find(name);
+    return found == this->declaration.classes.end() ? nullptr : &found->second;
+}
+
+std::string DecisionLoop::notReadyReason() const
+{
+    if (this->refusing.load()) {
+        return "draining; callers use other entries";
+    }
+    if (!this->configured.load()) {
+        return "no configuration yet; check that the agent runs and that a declaration was applied";
+    }
+    if (!this->isFresh()) {
+        return "the control state is stale; check that the agent runs and reaches its peers";
+    }
+    return {};
+}
+
 } // namespace bronzeshed
--- a/src/entry/decisionloop.h
+++ b/src/entry/decisionloop.h
@@ -3,6 +3,7 @@
 
 #include "base/random.h"
 #include "entry/callerport.h"
+#include "entry/callmetrics.h"
 #include "entry/callparser.h"
 #include "entry/controlinbox.h"
 #include "entry/ledgercoordinator.h"
@@ -36,6 +37,8 @@
     UpstreamPort &upstreams;
     LedgerAskers &askers;
     LedgerPeers &peers;
+    EventRing<ProbeEvent> &probes;
+    MetricsHub &metrics;
 };
 
 /**
@@ -55,6 +58,8 @@
     void refuseNewWork() { this->refusing.store(true); }
     /** Calls that have no outcome yet. Thread-safe. */
     std::size_t openCalls() const { return this->open.load(); }
+    /** Empty if new work is taken, otherwise why it is not. Thread-safe. */
+    std::string notReadyReason() const;
 
 private:
     struct OpenCall
@@ -62,6 +67,7 @@
         HttpRequest request;
         std::shared_ptr<HttpExchange> exchange;
         CallHeaders headers;
+        TimePoint arrival;
         TimePoint deadline;
         std::optional<RequestIdentity> identity; ///< set if the call may run once only
     };
@@ -69,6 +75,7 @@
     void startAttempt(const AttemptOrder &order) override;
     void cancelAttempt(AttemptId id) override;
     void finishCall(CallId id, Outcome outcome, Reason reason, AttemptId winner) override;
+    bool startProbe(const ProbeOrder &order) override;
 
     void takeControlState();
     void handleCaller(CallerEvent event);
@@ -79,6 +86,9 @@
     bool admitOnce(const CallerEvent &event, OpenCall &call);
     void handleDeparture(CallId id);
     void handleAttempt(AttemptEvent event);
+    void refuse(const CallerEvent &event, const CallHeaders &headers, Reason reason,
+                const std::string &detail);
+    const ClassTarget *findTarget(const ClassName &name) const;
     bool isFresh() const;
     template<typename Event, typename Handler>
     bool takeEvents(EventRing<Event> &ring, Handler handle);
@@ -90,12 +100,14 @@
     TimerService timers;
     Dispatcher dispatcher;
     LedgerCoordinator ledger;
+    CallMetrics metrics;
     Declaration declaration;
     ControlState state;
     std::unordered_map<CallId, OpenCall> calls;
     HttpResponse winningResponse; ///< of the attempt being reported
     std::atomic<bool> stopping{false};
     std::atomic<bool> refusing{false};
+    std::atomic<bool> configured{false};
     std::atomic<std::size_t> open{0};
 };
 
--- /dev/null
+++ b/src/entry/entryprocess.cpp
@@ -0,0 +1,127 @@
+#include "entry/entryprocess.h"
+
+#include "base/logline.h"
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::size_t MaxCalls = 4096;
+/** An attempt and its hedge. */
+constexpr std::size_t AttemptsPerCall = 2;
+constexpr std::size_t MaxProbes = 1024;
+constexpr std::size_t MetricEvents = 16384;
+constexpr unsigned IncarnationRandomBits = 22;
+constexpr std::chrono::milliseconds TickPeriod{100};
+/** Longer than the longest deadline that a call may have. */
+constexpr std::chrono::minutes InFlightLimit{11};
+
+/** A number that is higher for a later start of the same instance. */
+Incarnation makeIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    SeededRandom random = makeSystemRandom();
+    return Incarnation((static_cast<std::uint64_t>(ms) << IncarnationRandomBits)
+                       | random.below(1U << IncarnationRandomBits));
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const EntryOptions &given)
+    : options(given)
+    , callerRing(MaxCalls, wakeup)
+    , departureRing(MaxCalls, wakeup)
+    , attemptRing(MaxCalls * AttemptsPerCall, wakeup)
+    , probeRing(MaxProbes, wakeup)
+    , questionRing(MaxCalls, wakeup)
+    , resultRing(LedgerClient::MaxQueries, wakeup)
+    , metrics(MetricEvents)
+    , callerPort(callerRing, departureRing)
+    , callers(given.callers, HttpLimits{}, callerPort)
+    , ledgerServer(given.ledger, questionRing)
+    , ledgerClient(resultRing)
+    , upstreams(ConnectionPoolLimits{}, attemptRing, probeRing)
+    , incarnation(makeIncarnation())
+    , control(this->initialStatus(incarnation), wakeup)
+    , decisions(this->decisionOptions(incarnation),
+                {wakeup, callerRing, departureRing, attemptRing, questionRing, resultRing, control,
+                 upstreams, ledgerServer, ledgerClient, probeRing, metrics})
+    , decisionThread([this] { this->decisions.run(); })
+    , link(std::make_unique<AgentLink>(given.agent, control))
+    , adminPort(*this)
+    , admin(std::make_unique<HttpServer>(given.admin, HttpLimits{}, adminPort))
+{
+}
+
+EntryProcess::~EntryProcess()
+{
+    this->admin->stop();
+    this->link->stop();
+    this->callers.stop();
+    this->decisions.stop();
+    this->decisionThread.join();
+    this->ledgerServer.stop();
+    this->ledgerClient.stop();
+    this->upstreams.stop();
+}
+
+EntryStatus EntryProcess::initialStatus(Incarnation own) const
+{
+    EntryStatus status;
+    status.incarnation = own;
+    status.callerEndpoint = this->callers.localEndpoint();
+    status.ledgerEndpoint = this->ledgerServer.localEndpoint();
+    return status;
+}
+
+DecisionOptions EntryProcess::decisionOptions(Incarnation own) const
+{
+    DecisionOptions decision;
+    decision.dispatcher.region = this->options.region;
+    decision.dispatcher.zone = this->options.zone;
+    decision.dispatcher.maxCalls = MaxCalls;
+    decision.incarnation = own;
+    return decision;
+}
+
+void EntryProcess::tick()
+{
+    this->metrics.drain(std::chrono::steady_clock::now());
+}
+
+std::string EntryProcess::metricsText()
+{
+    this->tick();
+    return this->metrics.render();
+}
+
+bool EntryProcess::drain(SignalMonitor &signals)
+{
+    const auto waitUntil = [&](Duration limit, const auto &done) {
+        const TimePoint end = std::chrono::steady_clock::now() + limit;
+        while (!done() && std::chrono::steady_clock::now() < end) {
+            this->tick();
+            if (signals.wait(TickPeriod) != StopRequest::None) {
+                return false;
+            }
+        }
+        return true;
+    };
+    LogLine("drain_started").add("window_ms", this->options.drainWindow.count());
+    this->control.setLeaving();
+    this->callers.startDraining();
+    bool graceful = waitUntil(this->options.drainWindow, [] { return false; });
+    if (graceful) {
+        this->decisions.refuseNewWork();
+        graceful = waitUntil(InFlightLimit, [this] {
+            return this->decisions.openCalls() == 0 && this->callers.pendingRequests() == 0;
+        });
+    }
+    LogLine("drain_ended")
+        .add("open_calls", this->decisions.openCalls())
+        .add("immediate", !graceful);
+    return graceful;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/entry/entryprocess.h
@@ -0,0 +1,82 @@
+#ifndef BRONZESHED_ENTRY_ENTRYPROCESS_H
+#define BRONZESHED_ENTRY_ENTRYPROCESS_H
+
+#include "base/program.h"
+#include "entry/decisionloop.h"
+#include "metrics/adminport.h"
+#include "rpc/agentlink.h"
+#include "rpc/ledgerclient.h"
+#include "rpc/ledgerserver.h"
+
+#include <memory>
+#include <thread>
+
+namespace bronzeshed {
+
+/** Settings of an entry process. */
+struct EntryOptions
+{
+    RegionName region;
+    ZoneName zone;
+    Endpoint callers;
+    Endpoint agent;
+    Endpoint ledger;
+    Endpoint admin;
+    std::chrono::milliseconds drainWindow{0};
+};
+
+/** All threads of an entry and the rings between them. */
+class EntryProcess : private AdminSource
+{
+public:
+    /** Starts to serve. @throws Error if an endpoint cannot be bound */
+    explicit EntryProcess(const EntryOptions &options);
+    ~EntryProcess();
+    EntryProcess(const EntryProcess &) = delete;
+    EntryProcess &operator=(const EntryProcess &) = delete;
+
+    Endpoint callerEndpoint() const { return this->callers.localEndpoint(); }
+    Endpoint adminEndpoint() const { return this->admin->localEndpoint(); }
+
+    /** Adds up the metrics; to be called a few times a second. */
+    void tick();
+
+    /**
+     * Leaves the fleet: serves through the drain window, then refuses new work and waits for what
+     * is in flight.
+     * @return false if a second signal ended the drain
+     */
+    bool drain(SignalMonitor &signals);
+
+private:
+    std::string metricsText() override;
+    std::string notReadyReason() override { return this->decisions.notReadyReason(); }
+    EntryStatus initialStatus(Incarnation incarnation) const;
+    DecisionOptions decisionOptions(Incarnation incarnation) const;
+
+    EntryOptions options;
+    Wakeup wakeup;
+    EventRing<CallerEvent> callerRing;
+    EventRing<CallId> departureRing;
+    EventRing<AttemptEvent> attemptRing;
+    EventRing<ProbeEvent> probeRing;
+    EventRing<LedgerQuestion> questionRing;
+    EventRing<LedgerResult> resultRing;
+    MetricsHub metrics;
+    CallerPort callerPort;
+    HttpServer callers;
+    LedgerServer ledgerServer;
+    LedgerClient ledgerClient;
+    UpstreamPort upstreams;
+    Incarnation incarnation;
+    ControlInbox control;
+    DecisionLoop decisions;
+    std::thread decisionThread;
+    std::unique_ptr<AgentLink> link;
+    AdminPort adminPort;
+    std::unique_ptr<HttpServer> admin;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,121 +1,61 @@
-#include "base/logline.h"
-#include "base/program.h"
-#include "entry/decisionloop.h"
-#include "rpc/agentlink.h"
-#include "rpc/ledgerclient.h"
-#include "rpc/ledgerserver.h"
+#include "base/error.h"
+#include "entry/entryprocess.h"
 
 #include <cstdlib>
 #include <iostream>
-#include <thread>
 
 namespace bronzeshed {
 
 namespace {
 
-constexpr std::size_t MaxCalls = 4096;
-constexpr std::size_t AttemptsPerCall = 2;
-constexpr unsigned IncarnationRandomBits = 22;
+constexpr std::uint64_t MaxDrainMs = 600000;
 constexpr std::chrono::milliseconds TickPeriod{100};
-/** Exit code after a second signal, which may have cut off requests. */
+/** Exit code if a second signal ended the drain. */
 constexpr int ExitImmediate = 3;
 
-/** Where other entries ask; by default the address for callers with a port of the system's choice.
- */
+/** Other entries ask at this address; by default the caller address with any free port. */
 Endpoint ledgerEndpoint(const Settings &settings)
 {
-    if (settings.text("ledger-listen").empty()) {
-        return {settings.endpoint("listen").host, 0};
+    if (!settings.text("ledger-listen").empty()) {
+        return settings.endpoint("ledger-listen");
     }
-    return settings.endpoint("ledger-listen");
+    return {settings.endpoint("listen").host, 0};
 }
 
-void checkSettings(const Settings &settings)
+EntryOptions readOptions(const Settings &settings)
 {
-    settings.endpoint("listen");
-    settings.endpoint("agent");
-    ledgerEndpoint(settings);
-    settings.milliseconds("drain-ms", 0, 600000);
+    EntryOptions options;
+    options.region = RegionName(settings.text("region"));
+    options.zone = ZoneName(settings.text("zone"));
+    options.callers = settings.endpoint("listen");
+    options.agent = settings.endpoint("agent");
+    options.ledger = ledgerEndpoint(settings);
+    options.admin = settings.endpoint("admin-listen");
+    options.drainWindow = settings.milliseconds("drain-ms", 0, MaxDrainMs);
+    if (options.agent.port == 0) {
+        throw SettingsError("flag --agent has port 0", "give the port on which the agent listens");
+    }
+    return options;
 }
 
-/** A number that is higher for a later start of the same instance. */
-Incarnation makeIncarnation()
+void checkSettings(const Settings &settings)
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    SeededRandom random = makeSystemRandom();
-    return Incarnation((static_cast<std::uint64_t>(ms) << IncarnationRandomBits)
-                       | random.below(1U << IncarnationRandomBits));
-}
-
-/** Waits until @p done or until the time is over. @return whether a second signal arrived */
-template<typename Condition>
-bool waitUntil(SignalMonitor &signals, std::chrono::milliseconds limit, Condition done)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!done() && std::chrono::steady_clock::now() < end) {
-        if (signals.wait(TickPeriod) != StopRequest::None) {
-            return true;
-        }
-    }
-    return false;
+    readOptions(settings);
 }
 
 int runEntry(const Settings &settings)
 {
     SignalMonitor signals;
-    Wakeup wakeup;
-    EventRing<CallerEvent> callerRing(MaxCalls, wakeup);
-    EventRing<AttemptEvent> attemptRing(MaxCalls * AttemptsPerCall, wakeup);
-    EventRing<CallId> departureRing(MaxCalls, wakeup);
-    EventRing<LedgerQuestion> questionRing(MaxCalls, wakeup);
-    EventRing<LedgerResult> resultRing(LedgerClient::MaxQueries, wakeup);
-    CallerPort callerPort(callerRing, departureRing);
-    HttpServer server(settings.endpoint("listen"), HttpLimits{}, callerPort);
-    LedgerServer ledgerServer(ledgerEndpoint(settings), questionRing);
-    LedgerClient ledgerClient(resultRing);
-
-    EntryStatus status;
-    status.incarnation = makeIncarnation();
-    status.callerEndpoint = server.localEndpoint();
-    status.ledgerEndpoint = ledgerServer.localEndpoint();
-    ControlInbox control(status, wakeup);
-    UpstreamPort upstreams(ConnectionPoolLimits{}, attemptRing);
-
-    DecisionOptions options;
-    options.dispatcher.region = RegionName(settings.text("region"));
-    options.dispatcher.zone = ZoneName(settings.text("zone"));
-    options.dispatcher.maxCalls = MaxCalls;
-    options.incarnation = status.incarnation;
-    DecisionLoop decisions(options,
-                           {wakeup, callerRing, departureRing, attemptRing, questionRing,
-                            resultRing, control, upstreams, ledgerServer, ledgerClient});
-    std::thread decisionThread([&decisions] { decisions.run(); });
-    AgentLink link(settings.endpoint("agent"), control);
-    std::cout << "listening " << server.localEndpoint().toString() << std::endl;
-
-    while (signals.wait(TickPeriod) == StopRequest::None) { }
-    const auto window = settings.milliseconds("drain-ms", 0, 600000);
-    LogLine("drain_started").add("window_ms", window.count());
-    control.setLeaving();
-    server.startDraining();
-    bool immediate = waitUntil(signals, window, [] { return false; });
-    decisions.refuseNewWork();
-    immediate = immediate || waitUntil(signals, std::chrono::minutes(10), [&] {
-                    return decisions.openCalls() == 0 && server.pendingRequests() == 0;
-                });
-    LogLine("drain_ended").add("open_calls", decisions.openCalls()).add("immediate", immediate);
-    if (immediate) {
+    EntryProcess entry(readOptions(settings));
+    std::cout << "listening " << entry.callerEndpoint().toString() << std::endl;
+    std::cout << "admin-listening " << entry.adminEndpoint().toString() << std::endl;
+    while (signals.wait(TickPeriod) == StopRequest::None) {
+        entry.tick();
+    }
+    if (!entry.drain(signals)) {
         // Joining the threads would wait for the agent's answer.
         std::_Exit(ExitImmediate);
     }
-    link.stop();
-    server.stop();
-    decisions.stop();
-    decisionThread.join();
-    ledgerServer.stop();
-    ledgerClient.stop();
-    upstreams.stop();
     return 0;
 }
 
@@ -132,6 +72,7 @@
         {"listen", "", "address where callers connect", true},
         {"agent", "", "address of this instance's agent", true},
         {"ledger-listen", "", "address where other entries ask about request ids"},
+        {"admin-listen", "127.0.0.1:0", "address of metrics, health and readiness"},
         {"drain-ms", "15000", "how long a leaving entry goes on serving"},
     };
     Settings settings("bronzeshed-entry", "Serves callers of one entry instance.", specs);
--- a/src/entry/upstreamport.cpp
+++ b/src/entry/upstreamport.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/** Ids of probes do not meet those of attempts, which count from 1. */
+constexpr std::uint64_t FirstProbeId = 1ULL << 63U;
+/** Request and response of a probe, with their headers, rounded up. */
+constexpr std::size_t ProbeBytes = 300;
+
 std::optional<std::uint64_t> readNumber(const HttpResponse &response, const char *name)
 {
     const auto text = response.headers.find(name);
@@ -59,8 +64,10 @@
     return report;
 }
 
-UpstreamPort::UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring)
+UpstreamPort::UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring,
+                           EventRing<ProbeEvent> &probeRing)
     : ring(ring)
+    , probeRing(probeRing)
     , pool(limits)
 {
 }
@@ -79,6 +86,24 @@
         });
 }
 
+std::size_t UpstreamPort::probe(const ProbeOrder &order)
+{
+    HttpRequest request;
+    request.target = "/health";
+    const AttemptId id(FirstProbeId + ++this->lastProbe);
+    this->pool.send(
+        id, order.upstream.endpoint, request, ConnectionUse::RecentlyUsed, order.timeout,
+        [this, upstream = order.upstream.id](ExchangeResult result) {
+            const bool healthy
+                = result.status == ExchangeStatus::Answered && result.response.status == 200;
+            ProbeEvent event{upstream, healthy};
+            if (!this->probeRing.tryPush(event)) {
+                LogLine("probe_event_lost", LogLevel::Error).add("upstream", upstream.value());
+            }
+        });
+    return ProbeBytes;
+}
+
 void UpstreamPort::cancel(AttemptId id)
 {
     this->pool.cancel(id);
--- a/src/entry/upstreamport.h
+++ b/src/entry/upstreamport.h
@@ -15,20 +15,32 @@
     HttpResponse response;
 };
 
-/** Sends attempts to upstreams and reports their ends. */
+/** The end of a probe on its way to the decision thread. */
+struct ProbeEvent
+{
+    UpstreamId upstream;
+    bool healthy = false;
+};
+
+/** Sends attempts and probes to upstreams and reports their ends. */
 class UpstreamPort
 {
 public:
-    UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring);
+    UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring,
+                 EventRing<ProbeEvent> &probeRing);
 
     /** Sends @p request as the attempt @p order describes. */
     void send(const AttemptOrder &order, const HttpRequest &request);
+    /** Asks the health endpoint of an upstream. @return bytes of the request, about */
+    std::size_t probe(const ProbeOrder &order);
     void cancel(AttemptId id);
     std::size_t openConnections() const { return this->pool.openConnections(); }
     void stop() { this->pool.stop(); }
 
 private:
     EventRing<AttemptEvent> &ring;
+    EventRing<ProbeEvent> &probeRing;
+    std::uint64_t lastProbe = 0;
     ConnectionPool pool;
 };
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -234,6 +234,7 @@
     order.timeout = call.deadline - this->clock.now();
     order.idempotent = call.target.repeatable;
     order.hedge = hedge;
+    order.retry = !hedge && call.attempts > 1;
     this->output.startAttempt(order);
 }
 
--- a/src/routing/dispatcheroutput.h
+++ b/src/routing/dispatcheroutput.h
@@ -48,6 +48,7 @@
     Duration timeout = Duration::zero();
     bool idempotent = false; ///< if not, only recently used or new connections may carry it
     bool hedge = false; ///< runs beside another attempt of the same call
+    bool retry = false; ///< follows a failed attempt of the same call
 };
 
 /** A request to the health endpoint of an ejected upstream. */
