--- a/src/rpc/ledgerserver.cpp
+++ b/src/rpc/ledgerserver.cpp
@@ -26,14 +26,18 @@
 
     kj::Promise<void> resolve(ResolveContext context) override
     {
-        KJ_REQUIRE(this->waiting.size() < MaxQuestions, "too many questions are waiting");
+        if (this->waiting.size() >= MaxQuestions) {
+            return KJ_EXCEPTION(OVERLOADED, "too many questions are waiting");
+        }
         const auto params = context.getParams();
         this->last = this->last.next();
         LedgerQuestion question{this->last, RequestId(params.getId().cStr()), params.getDigest()};
-        KJ_REQUIRE(this->questions.tryPush(question), "the ring to the decision thread is full");
+        if (!this->questions.tryPush(question)) {
+            return KJ_EXCEPTION(OVERLOADED, "the ring to the decision thread is full");
+        }
         auto pair = kj::newPromiseAndFulfiller<Resolution>();
         this->waiting.emplace(this->last, kj::mv(pair.fulfiller));
-        return pair.promise.then([context](Resolution resolution) mutable {
+        return pair.promise.then([context](const Resolution &resolution) mutable {
             writeResolution(context.getResults().initResolution(), resolution);
         });
     }
--- a/tests/http/connectionpooltest.cpp
+++ b/tests/http/connectionpooltest.cpp
@@ -2,6 +2,7 @@
 
 #include "rawpeer.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <latch>
@@ -154,9 +155,9 @@
         return silent ? RawReply{"", RawReply::AwaitClose} : RawReply{answer("x"), RawReply::Keep};
     });
     Client client;
-    std::vector<std::future<ExchangeResult>> first;
-    for (int i = 0; i < 3; ++i) {
-        first.push_back(client.start(server, Enough));
+    std::array<std::future<ExchangeResult>, 3> first;
+    for (auto &result : first) {
+        result = client.start(server, Enough);
     }
     for (auto &result : first) {
         result.wait();
