Let the later leave mark win and settle ties alike at all agents

A command whose agent had not yet heard of another operator's mark got the same counter and was told accepted although the other mark stayed in force. The keeper now raises the counter when it records. AgentState compared counters only, so agents could keep different marks; it uses supersedes() too. Both faults are caught by later_mark_wins_and_ties_are_settled_alike and the first one by the property.

--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -164,7 +164,7 @@
     LeaveMarks newer;
     for (const auto &[upstream, mark] : marks) {
         const auto known = this->newest.leaveMarks.find(upstream);
-        if (known == this->newest.leaveMarks.end() || mark.counter > known->second.counter) {
+        if (known == this->newest.leaveMarks.end() || supersedes(mark, known->second)) {
             newer[upstream] = mark;
             LogLine("leave_mark_changed")
                 .add("upstream", upstream.value())
--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -96,7 +96,7 @@
         return ChangeRefused{error.what()};
     }
     this->agent.mergeMarks(next.marks);
-    ChangeResult result = this->record(next);
+    ChangeResult result = this->record(next, true);
     if (std::holds_alternative<ChangeAccepted>(result)) {
         return result;
     }
@@ -108,7 +108,7 @@
 {
     const std::lock_guard lock(this->mutex);
     while (!this->pending.empty()) {
-        const ChangeResult result = this->record(this->pending.front());
+        const ChangeResult result = this->record(this->pending.front(), false);
         if (const auto *failure = std::get_if<StoreUnavailable>(&result)) {
             LogLine("leave_mark_not_recorded", LogLevel::Warning).add("error", failure->error);
         }
@@ -295,11 +295,11 @@
     }
 }
 
-ChangeResult ConfigKeeper::record(const PendingMark &mark)
+ChangeResult ConfigKeeper::record(PendingMark &mark, bool isNewest)
 {
     ChangeResult result = ChangeConflict{};
     for (int attempt = 0; attempt < MaxMarkAttempts; ++attempt) {
-        result = this->tryRecord(mark);
+        result = this->tryRecord(mark, isNewest);
         if (!std::holds_alternative<ChangeConflict>(result)) {
             break;
         }
@@ -307,7 +307,18 @@
     return result;
 }
 
-ChangeResult ConfigKeeper::tryRecord(const PendingMark &mark)
+/** Raises the mark's counter if a mark that this agent did not know would win against it. */
+void ConfigKeeper::raiseCounter(PendingMark &mark, const LeaveMarks &known)
+{
+    auto &[upstream, own] = *mark.marks.begin();
+    const auto found = known.find(upstream);
+    if (found != known.end() && !supersedes(own, found->second) && !(found->second == own)) {
+        own.counter = found->second.counter + 1;
+        this->agent.mergeMarks(mark.marks);
+    }
+}
+
+ChangeResult ConfigKeeper::tryRecord(PendingMark &mark, bool isNewest)
 {
     try {
         const View view = this->readView();
@@ -315,6 +326,9 @@
             return ChangeAccepted{entry->to};
         }
         this->requireNewest(view.newest);
+        if (isNewest) {
+            this->raiseCounter(mark, view.newest.leaveMarks);
+        }
         ConfigRecord next = ConfigHistory::withLeaveMarks(view.newest, this->nextVersion(view),
                                                           mark.marks, mark.change);
         this->shorten(next);
--- a/src/agent/configkeeper.h
+++ b/src/agent/configkeeper.h
@@ -74,8 +74,10 @@
     ChangeResult commit(std::uint64_t revision, const ConfigRecord &record);
     std::optional<ChangeResult> settle(const ConfigRecord &record, std::uint64_t revision,
                                        bool maybeWritten);
-    ChangeResult record(const PendingMark &mark);
-    ChangeResult tryRecord(const PendingMark &mark);
+    /** @param isNewest whether the mark's command is newer than all that the store holds */
+    ChangeResult record(PendingMark &mark, bool isNewest);
+    ChangeResult tryRecord(PendingMark &mark, bool isNewest);
+    void raiseCounter(PendingMark &mark, const LeaveMarks &known);
     ConfigChange makeChange(const std::string &operatorName, std::string action,
                             const std::string &writeId);
 
--- a/src/config/configrecord.cpp
+++ b/src/config/configrecord.cpp
@@ -81,13 +81,18 @@
 
 } // namespace
 
+bool supersedes(const LeaveMark &offered, const LeaveMark &known)
+{
+    const bool tied = offered.counter == known.counter;
+    return offered.counter > known.counter || (tied && offered.leaving && !known.leaving);
+}
+
 bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source)
 {
     bool changed = false;
     for (const auto &[upstream, mark] : source) {
         LeaveMark &known = target[upstream];
-        const bool tied = mark.counter == known.counter && mark.leaving && !known.leaving;
-        if (mark.counter > known.counter || tied) {
+        if (supersedes(mark, known)) {
             known = mark;
             changed = true;
         }
--- a/src/config/configrecord.h
+++ b/src/config/configrecord.h
@@ -23,8 +23,13 @@
 using LeaveMarks = std::map<UpstreamId, LeaveMark>;
 
 /**
- * Adds the marks of @p source that are newer. Of two marks with the same counter the one that says
+ * Whether @p offered replaces @p known. Of two marks with the same counter the one that says
  * "leaving" wins, so that all agents settle on the same mark whatever the order of arrival.
+ */
+bool supersedes(const LeaveMark &offered, const LeaveMark &known);
+
+/**
+ * Adds the marks of @p source that are newer.
  * @return whether anything changed
  */
 bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source);
--- a/tests/agent/configkeeperpropertytest.cpp
+++ b/tests/agent/configkeeperpropertytest.cpp
@@ -97,6 +97,16 @@
         checkInvariants(world);
     }
 
+    void leave(KeeperWorld &world) const
+    {
+        const bool leaving = this->number % 2 == 0;
+        const ChangeResult result = world.leave(this->keeper, this->number / 2, leaving);
+        const UpstreamId target("almanac-" + std::to_string(this->number / 2 % 3));
+        if (std::holds_alternative<ChangeAccepted>(result)) {
+            RC_ASSERT(world.agents[this->keeper]->newest.leaveMarks.at(target).leaving == leaving);
+        }
+    }
+
     void act(KeeperWorld &world) const
     {
         const ConfigVersion version = world.agents[this->keeper]->newest.version;
@@ -114,7 +124,7 @@
             race(world, this->keeper, this->number);
             break;
         case Action::Leave:
-            world.leave(this->keeper, this->number, this->number % 2 == 0);
+            this->leave(world);
             break;
         case Action::Gossip:
             world.gossip();
--- a/tests/agent/configkeepertest.cpp
+++ b/tests/agent/configkeepertest.cpp
@@ -1,3 +1,4 @@
+#include "agent/agentstate.h"
 #include "configkeeperworld.h"
 
 #include <boost/test/unit_test.hpp>
@@ -105,6 +106,27 @@
     BOOST_TEST(stored.audit.back().action == "leave almanac-1");
 }
 
+// Guards against a command told as accepted that loses against an older one of another agent, and
+// against agents that settle on different marks because two had the same counter.
+BOOST_AUTO_TEST_CASE(later_mark_wins_and_ties_are_settled_alike)
+{
+    KeeperWorld world(2);
+    expectResult<ChangeAccepted>(world.leave(0, 1, true));
+    expectResult<ChangeAccepted>(world.leave(1, 1, false));
+    BOOST_TEST(!world.agents[1]->newest.leaveMarks.at(UpstreamId("almanac-1")).leaving);
+
+    const LeaveMarks leave{{UpstreamId("almanac-1"), {1, true}}};
+    const LeaveMarks back{{UpstreamId("almanac-1"), {1, false}}};
+    SystemClock clock;
+    Wakeup wakeup;
+    for (const auto &[first, second] : {std::pair(leave, back), std::pair(back, leave)}) {
+        AgentState state(clock, {}, wakeup);
+        state.mergeMarks(first);
+        state.mergeMarks(second);
+        BOOST_TEST((state.record().leaveMarks == leave));
+    }
+}
+
 // Guards against entries trimmed from the record although their page was not written.
 BOOST_AUTO_TEST_CASE(page_is_written_before_entries_are_trimmed)
 {
