--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -4,7 +4,7 @@
 #include "base/logline.h"
 #include "entry/callresponse.h"
 #include "entry/lookup.h"
-#include "routing/freeslotpolicy.h"
+#include "routing/queueaheadpolicy.h"
 
 namespace bronzeshed {
 
@@ -26,8 +26,8 @@
     : options(options)
     , ports(ports)
     , random(makeSystemRandom())
-    , dispatcher(this->clock, this->random, this->timers, *this, std::make_unique<FreeSlotPolicy>(),
-                 options.dispatcher)
+    , dispatcher(this->clock, this->random, this->timers, *this,
+                 std::make_unique<QueueAheadPolicy>(), options.dispatcher)
     , ledger(this->clock, this->timers, options.incarnation, options.ledger, ports.peers)
     , metrics(ports.metrics, this->clock, options.dispatcher.region)
 {
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -25,6 +25,15 @@
     return slots;
 }
 
+std::size_t countWaiting(const std::vector<UpstreamView *> &views)
+{
+    std::size_t waiting = 0;
+    for (const UpstreamView *view : views) {
+        waiting += view->outstanding > view->slots ? view->outstanding - view->slots : 0;
+    }
+    return waiting;
+}
+
 /** Keeps the views that fulfil @p wanted, or all views if none does. */
 template<typename Condition>
 void prefer(std::vector<UpstreamView *> &views, Condition wanted)
@@ -123,8 +132,9 @@
         return Reason::QueueFull;
     }
     const Service &service = this->services[target.service];
-    const QueueEstimate estimate(service.queue, service.times,
-                                 countSlots(this->usableUpstreams(target.service)));
+    const std::vector<UpstreamView *> views = this->usableUpstreams(target.service);
+    const QueueEstimate estimate(service.queue, service.times, countSlots(views),
+                                 countWaiting(views));
     const Reason late = estimate.refusal(target, request.timeLeft, this->clock.now());
     if (late != Reason::None) {
         return late;
@@ -167,7 +177,8 @@
     const Service &state = this->services[service];
     const std::optional<Duration> mean = state.times.mean();
     auto views = this->upstreams.candidates(service, mean, false);
-    if (!QueueEstimate(state.queue, state.times, countSlots(views)).isOverloaded()) {
+    const QueueEstimate estimate(state.queue, state.times, countSlots(views), countWaiting(views));
+    if (!estimate.isOverloaded()) {
         return views;
     }
     return this->upstreams.candidates(service, mean, true);
@@ -203,7 +214,11 @@
 
 bool Dispatcher::startQueued(OpenCall &call)
 {
-    UpstreamView *view = this->policy->choose(this->candidates(call), this->random);
+    const std::vector<UpstreamView *> views = this->candidates(call);
+    UpstreamView *view = this->policy->choose(views, this->random);
+    if (view == nullptr) {
+        view = this->policy->chooseForQueueing(views, this->random);
+    }
     if (view == nullptr) {
         return false;
     }
@@ -277,25 +292,32 @@
     const OpenAttempt attempt = found->second;
     this->attempts.erase(found);
     const TimePoint now = this->clock.now();
-    const Duration time = now - attempt.place.startedAt;
-    if (report.isSuccess() && attempt.ownRegion) {
-        this->services[attempt.service].times.record(time, now);
+    const auto time = this->upstreams.attemptEnded(attempt.place, report, attempt.answerWithin);
+    if (time && report.isSuccess() && attempt.ownRegion) {
+        this->services[attempt.service].times.record(*time, now);
     }
-    this->upstreams.attemptEnded(attempt.place, report, time >= attempt.answerWithin);
     const auto call = this->calls.find(attempt.call);
     if (call != this->calls.end()) {
         std::erase(call->second->running, id);
         if (report.status == AttemptStatus::Answered) {
             this->finish(*call->second, Outcome::Answered, Reason::None, id);
         } else {
-            this->attemptFailed(*call->second, report);
+            const bool queuedThere = attempt.place.queued.has_value();
+            this->attemptFailed(*call->second, report, queuedThere);
         }
     }
     this->startWaiting(attempt.service);
 }
 
-void Dispatcher::attemptFailed(OpenCall &call, const AttemptReport &report)
+void Dispatcher::attemptFailed(OpenCall &call, const AttemptReport &report, bool queuedThere)
 {
+    if (queuedThere && report.status == AttemptStatus::NotStarted && call.running.empty()) {
+        // The upstream keeps no queue. The call goes on as if it had waited here all the time.
+        --call.attempts;
+        call.tried.pop_back();
+        this->enqueue(call);
+        return;
+    }
     if (report.status == AttemptStatus::NotSent) {
         call.lastReason = Reason::UpstreamUnreachable;
     } else if (report.status == AttemptStatus::NotStarted) {
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -98,7 +98,8 @@
     void startAttempt(OpenCall &call, UpstreamView &view, bool hedge);
     void armHedge(const OpenCall &call, const UpstreamView &view);
     void hedge(CallId id);
-    void attemptFailed(OpenCall &call, const AttemptReport &report);
+    /** @param queuedThere whether the attempt went out above the upstream's slots */
+    void attemptFailed(OpenCall &call, const AttemptReport &report, bool queuedThere);
     void expire(CallId id);
     void abandon(OpenCall &call, Reason reason);
     void finish(OpenCall &call, Outcome outcome, Reason reason, AttemptId winner);
--- a/src/routing/freeslotpolicy.h
+++ b/src/routing/freeslotpolicy.h
@@ -5,7 +5,7 @@
 
 namespace bronzeshed {
 
-/** The chosen policy: only upstreams with a free slot; a call waits at the owner until there is
+/** Only upstreams with a free slot; a call waits at the owner until there is
  * one. Own region first, trial calls before others, slow upstreams last, then the fewest
  * outstanding. */
 class FreeSlotPolicy : public SelectionPolicy
--- /dev/null
+++ b/src/routing/queueaheadpolicy.h
@@ -0,0 +1,22 @@
+#ifndef BRONZESHED_ROUTING_QUEUEAHEADPOLICY_H
+#define BRONZESHED_ROUTING_QUEUEAHEADPOLICY_H
+
+#include "routing/freeslotpolicy.h"
+
+namespace bronzeshed {
+
+/**
+ * The chosen policy: as FreeSlotPolicy, but if no upstream has a free slot, one call may wait at
+ * each upstream. Otherwise a slot is idle for a round trip between two calls, 9% of the capacity
+ * with 5.6 ms of work and 0.25 ms each way.
+ */
+class QueueAheadPolicy : public FreeSlotPolicy
+{
+public:
+    UpstreamView *chooseForQueueing(const std::vector<UpstreamView *> &candidates,
+                                    Random &random) override;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/routing/queueestimate.cpp
+++ b/src/routing/queueestimate.cpp
@@ -14,16 +14,17 @@
 } // namespace
 
 QueueEstimate::QueueEstimate(const CallQueue &queue, const ServiceTimeEstimate &times,
-                             std::size_t slots)
+                             std::size_t slots, std::size_t waitingThere)
     : queue(queue)
     , times(times)
     , slots(slots)
+    , waitingThere(waitingThere)
 {
 }
 
 Duration QueueEstimate::wait(std::size_t calls) const
 {
-    return *this->times.mean() * static_cast<std::int64_t>(calls)
+    return *this->times.mean() * static_cast<std::int64_t>(calls + this->waitingThere)
         / static_cast<std::int64_t>(this->slots);
 }
 
--- a/src/routing/queueestimate.h
+++ b/src/routing/queueestimate.h
@@ -12,8 +12,12 @@
 class QueueEstimate
 {
 public:
-    /** @param slots attempts that the usable upstreams may run at the same time */
-    QueueEstimate(const CallQueue &queue, const ServiceTimeEstimate &times, std::size_t slots);
+    /**
+     * @param slots attempts that the usable upstreams may run at the same time
+     * @param waitingThere calls that wait at the upstreams, ahead of the queue
+     */
+    QueueEstimate(const CallQueue &queue, const ServiceTimeEstimate &times, std::size_t slots,
+                  std::size_t waitingThere);
 
     /** Why a new call cannot be answered in time, or Reason::None. */
     Reason refusal(const ClassTarget &target, Duration timeLeft, TimePoint now) const;
@@ -27,6 +31,7 @@
     const CallQueue &queue;
     const ServiceTimeEstimate &times;
     std::size_t slots;
+    std::size_t waitingThere;
 };
 
 } // namespace bronzeshed
--- a/src/routing/selectionpolicy.h
+++ b/src/routing/selectionpolicy.h
@@ -18,6 +18,15 @@
      * @return nullptr to keep the call waiting
      */
     virtual UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) = 0;
+    /**
+     * Chooses an upstream without a free slot at which a call may wait for the next one.
+     * @return nullptr to keep the call waiting here
+     */
+    virtual UpstreamView *chooseForQueueing(const std::vector<UpstreamView *> & /*candidates*/,
+                                            Random & /*random*/)
+    {
+        return nullptr;
+    }
 };
 
 /**
--- a/src/routing/upstreamset.cpp
+++ b/src/routing/upstreamset.cpp
@@ -140,16 +140,31 @@
 
 AttemptPlace UpstreamSet::startAttempt(UpstreamView &view)
 {
+    Upstream &upstream = this->upstreams.at(view.info.id);
+    AttemptPlace place{view.info.id, upstream.generation, this->clock.now(), std::nullopt};
+    if (!view.hasFreeSlot()) {
+        place.queued = upstream.queued.add();
+    }
     ++view.outstanding;
-    const Upstream &upstream = this->upstreams.at(view.info.id);
-    return AttemptPlace{view.info.id, upstream.generation, this->clock.now()};
+    return place;
+}
+
+TimePoint UpstreamSet::serviceStart(Upstream &upstream, const AttemptPlace &place) const
+{
+    if (!place.queued) {
+        return place.startedAt;
+    }
+    // An upstream may run an attempt that seems to wait if it has more slots than known.
+    return upstream.queued.remove(*place.queued).value_or(place.startedAt);
 }
 
-void UpstreamSet::attemptEnded(const AttemptPlace &place, const AttemptReport &report, bool ranLate)
+std::optional<Duration> UpstreamSet::attemptEnded(const AttemptPlace &place,
+                                                  const AttemptReport &report,
+                                                  Duration answerWithin)
 {
     const auto found = this->upstreams.find(place.upstream);
     if (found == this->upstreams.end() || found->second.generation != place.generation) {
-        return;
+        return std::nullopt;
     }
     Upstream &upstream = found->second;
     UpstreamView &view = upstream.view;
@@ -158,13 +173,21 @@
     if (report.load) {
         view.reportedLoad = report.load;
     }
-    const Duration time = this->clock.now() - place.startedAt;
+    const TimePoint now = this->clock.now();
+    const Duration time = now - this->serviceStart(upstream, place);
+    upstream.queued.slotFreed(now);
+    if (place.queued && report.status == AttemptStatus::NotStarted && !report.draining) {
+        // An upstream without a queue refuses a call above its slots; that is no fault.
+        view.queues = false;
+        return std::nullopt;
+    }
     const bool longer = !view.serviceTime || time > *view.serviceTime;
     if (report.isSuccess() || (report.status == AttemptStatus::Cancelled && longer)) {
         // A cancelled attempt would have taken at least this time.
         this->recordTime(upstream, time);
     }
-    this->recordEnd(upstream, report, ranLate);
+    this->recordEnd(upstream, report, now - place.startedAt >= answerWithin);
+    return time;
 }
 
 std::size_t UpstreamSet::usedSlots() const
--- a/src/routing/upstreamset.h
+++ b/src/routing/upstreamset.h
@@ -5,6 +5,7 @@
 #include "routing/dispatcheroptions.h"
 #include "routing/dispatcheroutput.h"
 #include "routing/probebudget.h"
+#include "routing/queuedattempts.h"
 #include "routing/upstreamhealth.h"
 #include "routing/upstreamview.h"
 
@@ -20,6 +21,7 @@
     UpstreamId upstream;
     std::uint64_t generation = 0; ///< tells a replaced upstream from the one before it
     TimePoint startedAt;
+    std::optional<QueuedAttemptId> queued; ///< set if the attempt went out above the slots
 };
 
 /**
@@ -50,8 +52,12 @@
 
     AttemptPlace startAttempt(UpstreamView &view);
 
-    /** @param ranLate whether the attempt was still in progress when its answer was overdue */
-    void attemptEnded(const AttemptPlace &place, const AttemptReport &report, bool ranLate);
+    /**
+     * @param answerWithin target of the call; a longer attempt counts as late
+     * @return the service time, without a wait at the upstream; nothing if the upstream is gone
+     */
+    std::optional<Duration> attemptEnded(const AttemptPlace &place, const AttemptReport &report,
+                                         Duration answerWithin);
 
     void probeEnded(const UpstreamId &id, bool healthy);
 
@@ -65,6 +71,7 @@
     {
         UpstreamView view;
         UpstreamHealth health;
+        QueuedAttempts queued;
         std::uint64_t generation = 0;
         TimePoint coldSince;
         unsigned answers = 0; ///< since coldSince
@@ -76,6 +83,7 @@
 
     void add(Upstream &upstream, const UpstreamInfo &info, bool slowStart);
     void refresh(Upstream &upstream, std::optional<Duration> mean) const;
+    TimePoint serviceStart(Upstream &upstream, const AttemptPlace &place) const;
     void recordTime(Upstream &upstream, Duration time);
     void recordEnd(Upstream &upstream, const AttemptReport &report, bool ranLate);
     void recordFailure(Upstream &upstream);
--- a/src/routing/upstreamview.h
+++ b/src/routing/upstreamview.h
@@ -23,7 +23,15 @@
     bool slow = false; ///< clearly slower than the other upstreams of its service
     bool trial = false; ///< ejected, and the next call decides about its readmission
 
+    bool queues = true; ///< keeps a call that it cannot start yet, instead of refusing it
+
     bool hasFreeSlot() const { return this->outstanding < this->slots; }
+    /** Whether one call may wait at the upstream, so that its next free slot is not idle. */
+    bool mayQueueCall() const
+    {
+        return this->queues && this->sameRegion && !this->cold && !this->slow && !this->trial
+            && this->outstanding == this->slots;
+    }
 };
 
 } // namespace bronzeshed
