--- a/src/entry/callerport.cpp
+++ b/src/entry/callerport.cpp
@@ -47,6 +47,7 @@
 {
     response.headers.set("Bronzeshed-Outcome", outcomeName(Outcome::Invalid));
     response.headers.set("Bronzeshed-Reason", reasonName(Reason::MalformedHeader));
+    response.headers.set("Bronzeshed-Remedy", reasonRemedy(Reason::MalformedHeader));
 }
 
 } // namespace bronzeshed
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -31,7 +31,7 @@
 public:
     /** Starts to serve. @throws Error if an endpoint cannot be bound */
     explicit EntryProcess(const EntryOptions &options);
-    ~EntryProcess();
+    ~EntryProcess() override;
     EntryProcess(const EntryProcess &) = delete;
     EntryProcess &operator=(const EntryProcess &) = delete;
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -26,9 +26,6 @@
     if (error == http::error::body_limit) {
         return 413;
     }
-    if (error == beast::error::timeout) {
-        return 408;
-    }
     return 400;
 }
 
@@ -141,33 +138,57 @@
     this->parser.emplace();
     this->parser->header_limit(static_cast<std::uint32_t>(this->server->limits.headerBytes));
     this->parser->body_limit(this->server->limits.bodyBytes);
-    this->stream.expires_after(this->server->limits.headerTimeout);
+    this->limitRead(this->requestStart + this->server->limits.headerTimeout);
     http::async_read_header(
         this->stream, this->buffer, *this->parser,
         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-            if (error) {
-                self->rejectRequest(statusForParseError(error), error.message(),
-                                    "fix the request header");
-                return;
+            if (self->finishRead(error, "fix the request header")) {
+                self->readBody();
             }
-            self->readBody();
         });
 }
 
 void ServerSession::readBody()
 {
-    this->stream.expires_at(this->requestStart + this->server->limits.requestTimeout);
+    this->limitRead(this->requestStart + this->server->limits.requestTimeout);
     http::async_read(this->stream, this->buffer, *this->parser,
                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-                         if (error) {
-                             self->rejectRequest(statusForParseError(error), error.message(),
-                                                 "send the whole body within the limits");
-                             return;
+                         if (self->finishRead(error, "send the whole body within the limits")) {
+                             self->dispatch();
                          }
-                         self->dispatch();
                      });
 }
 
+void ServerSession::limitRead(TimePoint limit)
+{
+    // The stream's own timeout would close the socket, and the client would get no 408.
+    this->stream.expires_never();
+    this->reading = true;
+    this->readTimer.expires_at(limit);
+    this->readTimer.async_wait([weak = this->weak_from_this()](beast::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->reading) {
+            self->readTimedOut = true;
+            self->stream.cancel();
+        }
+    });
+}
+
+bool ServerSession::finishRead(beast::error_code error, const std::string &remedy)
+{
+    this->reading = false;
+    this->readTimer.cancel();
+    if (this->readTimedOut) {
+        this->rejectRequest(408, "the request did not arrive in time", remedy);
+        return false;
+    }
+    if (error) {
+        this->rejectRequest(statusForParseError(error), error.message(), remedy);
+        return false;
+    }
+    return true;
+}
+
 void ServerSession::dispatch()
 {
     auto message = this->parser->release();
--- a/src/http/serversession.h
+++ b/src/http/serversession.h
@@ -5,6 +5,7 @@
 #include "http/serverstate.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
@@ -23,6 +24,7 @@
         : server(std::move(server))
         , stream(std::move(socket))
         , number(++this->server->lastConnection)
+        , readTimer(this->stream.get_executor())
     {
         this->server->sessions.insert(this);
         this->server->connections.store(this->server->sessions.size());
@@ -49,6 +51,9 @@
 
     void readHeader();
     void readBody();
+    void limitRead(TimePoint limit);
+    /** Ends the read's limit; rejects the request if the read failed. @return whether it did not */
+    bool finishRead(boost::beast::error_code error, const std::string &remedy);
     void dispatch();
     void rejectRequest(unsigned status, const std::string &problem, const std::string &remedy);
     void write(const HttpResponse &response);
@@ -61,6 +66,7 @@
     std::shared_ptr<ServerState> server;
     boost::beast::tcp_stream stream;
     std::uint64_t number;
+    boost::asio::steady_timer readTimer;
     boost::beast::flat_buffer buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser;
     boost::beast::http::response<boost::beast::http::string_body> response;
@@ -70,6 +76,8 @@
     bool headOnly = false;
     bool pending = false; ///< from the first byte of a request to the last of its response
     bool inFlight = false; ///< the handler has the request and has not responded
+    bool reading = false; ///< a header or body is being read
+    bool readTimedOut = false;
     TimePoint requestStart;
     bool watching = false;
 };
--- a/tests/http/httpservertest.cpp
+++ b/tests/http/httpservertest.cpp
@@ -94,8 +94,8 @@
     shortLimits.headerTimeout = std::chrono::milliseconds(50);
     shortLimits.requestTimeout = std::chrono::milliseconds(100);
     HttpServer impatient({"127.0.0.1", 0}, shortLimits, this->handler);
-    exchange(impatient, "GET / HT");
-    exchange(impatient, Post + "Content-Length: 5\r\n\r\nab");
+    BOOST_TEST(contains(exchange(impatient, "GET / HT"), " 408 "));
+    BOOST_TEST(contains(exchange(impatient, Post + "Content-Length: 5\r\n\r\nab"), " 408 "));
     BOOST_TEST(this->handler.handled.load() == 0U);
 }
 
