--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -3,9 +3,9 @@
 #include "agent/operatorreplies.h"
 #include "base/error.h"
 #include "base/logline.h"
+#include "base/parsenumber.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 #include <optional>
 
 namespace bronzeshed {
@@ -23,15 +23,6 @@
 const std::string LeavePath = "/v1/leave";
 const std::string ReturnPath = "/v1/return";
 
-std::optional<std::uint64_t> toNumber(const std::string &text)
-{
-    std::uint64_t number = 0;
-    const auto *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    return error == std::errc() && last == end && !text.empty() ? std::optional(number)
-                                                                : std::nullopt;
-}
-
 std::string header(const HttpRequest &request, std::string_view name)
 {
     return request.headers.find(name).value_or("");
@@ -137,7 +128,7 @@
         exchange->respond(historyResponse(this->agent.record()));
         return;
     }
-    const auto number = toNumber(page);
+    const auto number = parseNumber(page);
     if (!number) {
         exchange->respond(
             failureResponse(400, "the page is not a number", "give a number below archived_pages"));
@@ -171,7 +162,7 @@
         return;
     }
     const bool isApply = request.path() == DeclarationPath;
-    if (isApply && !toNumber(header(request, "Base-Version"))) {
+    if (isApply && !parseNumber(header(request, "Base-Version"))) {
         exchange->respond(
             failureResponse(400, "the header Base-Version is not a number",
                             "give the version that GET /v1/declaration shows, 0 for the first"));
@@ -190,7 +181,7 @@
 
 ChangeResult OperatorApi::applyDeclaration(const HttpRequest &request)
 {
-    const ConfigVersion base(toNumber(header(request, "Base-Version")).value_or(0));
+    const ConfigVersion base(parseNumber(header(request, "Base-Version")).value_or(0));
     return this->keeper.apply(request.body, base, header(request, "Operator"),
                               header(request, "Write-Id"));
 }
--- a/src/agent/operatorreplies.cpp
+++ b/src/agent/operatorreplies.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "config/declaration.h"
+#include "membership/membershiptable.h"
 
 #include <boost/json.hpp>
 
@@ -64,21 +65,6 @@
     }
 };
 
-const char *stateName(MemberState state)
-{
-    switch (state) {
-    case MemberState::Alive:
-        return "alive";
-    case MemberState::Suspect:
-        return "suspect";
-    case MemberState::Leaving:
-        return "leaving";
-    case MemberState::Dead:
-        return "dead";
-    }
-    return "unknown";
-}
-
 json::array writeMembers(const std::vector<Member> &members)
 {
     json::array instances;
@@ -86,7 +72,7 @@
         instances.push_back({{"id", member.id.value()},
                              {"region", member.region.value()},
                              {"zone", member.zone.value()},
-                             {"state", stateName(member.state)},
+                             {"state", memberStateName(member.state)},
                              {"version", toJson(member.configVersion)}});
     }
     return instances;
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,11 +1,11 @@
 #include "base/settings.h"
 
 #include "base/error.h"
+#include "base/parsenumber.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
-#include <charconv>
 #include <cstdlib>
 #include <getopt.h>
 #include <iostream>
@@ -18,17 +18,6 @@
 
 namespace {
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || last != end || text.empty()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 } // namespace
 
 std::string environmentName(std::string_view name)
--- a/src/entry/callparser.cpp
+++ b/src/entry/callparser.cpp
@@ -1,6 +1,7 @@
 #include "entry/callparser.h"
 
-#include <charconv>
+#include "base/parsenumber.h"
+
 #include <cstdint>
 
 namespace bronzeshed {
@@ -12,17 +13,6 @@
 constexpr std::uint64_t MaxDeadlineMs = 600000;
 constexpr std::size_t MaxNameBytes = 128;
 
-std::optional<std::uint64_t> parseNumber(const std::string &text)
-{
-    std::uint64_t number = 0;
-    const auto *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || last != end || text.empty()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 /** Reads an optional numeric header; marks the call invalid if it is malformed or too large. */
 std::optional<std::uint64_t> readNumber(const HttpRequest &request, const char *name,
                                         std::uint64_t limit, Reason tooLarge, ParsedCall &parsed)
--- a/src/entry/upstreamport.cpp
+++ b/src/entry/upstreamport.cpp
@@ -1,8 +1,7 @@
 #include "entry/upstreamport.h"
 
 #include "base/logline.h"
-
-#include <charconv>
+#include "base/parsenumber.h"
 
 namespace bronzeshed {
 
@@ -16,12 +15,7 @@
 std::optional<std::uint64_t> readNumber(const HttpResponse &response, const char *name)
 {
     const auto text = response.headers.find(name);
-    std::uint64_t number = 0;
-    if (!text
-        || std::from_chars(text->data(), text->data() + text->size(), number).ec != std::errc()) {
-        return std::nullopt;
-    }
-    return number;
+    return text ? parseNumber(*text) : std::nullopt;
 }
 
 AttemptStatus toStatus(const ExchangeResult &result)
--- a/src/platform/httpkeyvaluestore.cpp
+++ b/src/platform/httpkeyvaluestore.cpp
@@ -1,10 +1,9 @@
 #include "platform/httpkeyvaluestore.h"
 
 #include "base/error.h"
+#include "base/parsenumber.h"
 #include "http/httpclient.h"
 
-#include <charconv>
-
 namespace bronzeshed {
 
 namespace {
@@ -18,13 +17,13 @@
         throw UnavailableError("the store answered with status " + std::to_string(response.status),
                                "check the platform's key-value service");
     }
-    StoredValue stored;
-    const std::string revision = response.headers.find("Revision").value_or("");
-    const auto *end = revision.data() + revision.size();
-    if (std::from_chars(revision.data(), end, stored.revision).ptr != end || revision.empty()) {
+    const auto revision = parseNumber(response.headers.find("Revision").value_or(""));
+    if (!revision) {
         throw ProtocolError("the store's answer has no valid Revision header",
                             "check the platform's key-value service");
     }
+    StoredValue stored;
+    stored.revision = *revision;
     stored.value = response.status == 200 ? std::move(response.body) : std::string();
     return stored;
 }
--- a/src/replay/trace.cpp
+++ b/src/replay/trace.cpp
@@ -1,9 +1,9 @@
 #include "replay/trace.h"
 
+#include "base/parsenumber.h"
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <cstdint>
 
 namespace bronzeshed {
@@ -37,14 +37,12 @@
 std::uint64_t readNumber(const std::string &text, std::uint64_t limit, std::size_t line,
                          const std::string &what)
 {
-    std::uint64_t number = 0;
-    const char *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, number);
-    if (error != std::errc() || last != end || number > limit) {
+    const auto number = parseNumber(text);
+    if (!number || *number > limit) {
         reject(line, what + " '" + text + "' is not a number in range",
                "give a whole number from 0 to " + std::to_string(limit));
     }
-    return number;
+    return *number;
 }
 
 void checkName(const std::string &name, std::size_t line, const std::string &what)
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -16,24 +16,6 @@
 constexpr double InitialRetries = 1;
 constexpr double HedgeQuantile = 0.95;
 
-std::size_t countSlots(const std::vector<UpstreamView *> &views)
-{
-    std::size_t slots = 0;
-    for (const UpstreamView *view : views) {
-        slots += view->slots;
-    }
-    return slots;
-}
-
-std::size_t countWaiting(const std::vector<UpstreamView *> &views)
-{
-    std::size_t waiting = 0;
-    for (const UpstreamView *view : views) {
-        waiting += view->outstanding > view->slots ? view->outstanding - view->slots : 0;
-    }
-    return waiting;
-}
-
 /** Keeps the views that fulfil @p wanted, or all views if none does. */
 template<typename Condition>
 void prefer(std::vector<UpstreamView *> &views, Condition wanted)
--- a/src/routing/upstreamview.h
+++ b/src/routing/upstreamview.h
@@ -4,7 +4,9 @@
 #include "base/clock.h"
 #include "membership/controlstate.h"
 
+#include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace bronzeshed {
 
@@ -34,6 +36,11 @@
     }
 };
 
+/** Attempts that the upstreams may run at the same time. */
+std::size_t countSlots(const std::vector<UpstreamView *> &views);
+/** Attempts that wait at the upstreams for a slot. */
+std::size_t countWaiting(const std::vector<UpstreamView *> &views);
+
 } // namespace bronzeshed
 
 #endif
--- a/src/rpc/agentserver.cpp
+++ b/src/rpc/agentserver.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "rpc/controlconnections.h"
+#include "rpc/listener.h"
 
 #include <kj/async-io.h>
 
@@ -48,15 +49,8 @@
 {
     auto io = kj::setupAsyncIo();
     kj::Timer &timer = io.provider->getTimer();
-    kj::Own<kj::ConnectionReceiver> listener;
-    try {
-        auto address = io.provider->getNetwork().parseAddress(endpoint.host, endpoint.port);
-        listener = address.wait(io.waitScope)->listen();
-        ready.set_value(static_cast<std::uint16_t>(listener->getPort()));
-    } catch (const kj::Exception &error) {
-        ready.set_exception(std::make_exception_ptr(
-            Error("cannot listen on " + endpoint.toString() + ": " + error.getDescription().cStr(),
-                  "choose a free address and port of this instance")));
+    auto listener = bindListener(io, endpoint, ready);
+    if (listener.get() == nullptr) {
         return;
     }
     try {
--- a/src/rpc/ledgerserver.cpp
+++ b/src/rpc/ledgerserver.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/logline.h"
 #include "rpc/ledgerconversion.h"
+#include "rpc/listener.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -99,15 +100,8 @@
 void LedgerServer::run(const Endpoint &endpoint, std::promise<std::uint16_t> &ready)
 {
     auto io = kj::setupAsyncIo();
-    kj::Own<kj::ConnectionReceiver> listener;
-    try {
-        auto address = io.provider->getNetwork().parseAddress(endpoint.host, endpoint.port);
-        listener = address.wait(io.waitScope)->listen();
-        ready.set_value(static_cast<std::uint16_t>(listener->getPort()));
-    } catch (const kj::Exception &error) {
-        ready.set_exception(std::make_exception_ptr(
-            Error("cannot listen on " + endpoint.toString() + ": " + error.getDescription().cStr(),
-                  "choose a free address and port of this instance")));
+    auto listener = bindListener(io, endpoint, ready);
+    if (listener.get() == nullptr) {
         return;
     }
     auto owned = kj::heap<LedgerService>(this->questions);
