Define shared constants and the wall clock once; copy a request once less

The freshness limit stood in the entry and in the agent's metrics, the random bits of an incarnation in two files, the wall clock in three. The decision loop copied each request, body included, before the connection pool copied it again; it now sets the per-attempt headers in place. Behaviour is unchanged.

Run: all test programs and the linter; the sanitizer build was not run again.

--- a/src/agent/agentmetrics.cpp
+++ b/src/agent/agentmetrics.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** Entries stop new work on a state that is older than this. */
-constexpr std::chrono::seconds FreshnessLimit{6};
-
 double countMembers(const std::vector<Member> &members, MemberState state)
 {
     return static_cast<double>(
@@ -62,7 +59,7 @@
     if (current.configVersion == ConfigVersion()) {
         return "no configuration yet; apply a declaration or check the store and the peers";
     }
-    if (current.confirmedAge > FreshnessLimit) {
+    if (current.confirmedAge > ControlFreshness) {
         return "the control state is stale; check the store and the connections to peers";
     }
     return {};
--- a/src/agent/operatorservice.cpp
+++ b/src/agent/operatorservice.cpp
@@ -4,16 +4,6 @@
 
 namespace bronzeshed {
 
-namespace {
-
-std::int64_t wallClockMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
-} // namespace
-
 OperatorService::OperatorService(AgentState &state, const Settings &settings,
                                  std::chrono::milliseconds timeout)
     : adapter(state)
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_BASE_CLOCK_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace bronzeshed {
 
@@ -23,6 +24,13 @@
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/** Wall-clock time in milliseconds since 1970; it may jump. */
+inline std::int64_t wallClockMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 /** Time that moves only when told to, for tests and models. */
 class ManualClock : public Clock
 {
--- a/src/base/strongnumber.h
+++ b/src/base/strongnumber.h
@@ -33,6 +33,8 @@
 
 using ConfigVersion = StrongNumber<struct ConfigVersionTag>;
 using Incarnation = StrongNumber<struct IncarnationTag>;
+/** Low bits of an incarnation that are random; the others are the start time in milliseconds. */
+constexpr unsigned IncarnationRandomBits = 22;
 using AttemptId = StrongNumber<struct AttemptIdTag>;
 using CallId = StrongNumber<struct CallIdTag>;
 using ByteCount = StrongNumber<struct ByteCountTag>;
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -14,12 +14,6 @@
 /** Events taken from one ring before the others are looked at. */
 constexpr unsigned MaxBatch = 256;
 
-std::int64_t wallClockMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 } // namespace
 
 DecisionLoop::DecisionLoop(const DecisionOptions &options, const DecisionPorts &ports)
@@ -138,8 +132,8 @@
         event.exchange->respond(makeRefusal(Outcome::NotRun, Reason::NoConfiguration));
         return;
     }
-    const auto target = this->declaration.classes.find(className);
-    if (target == this->declaration.classes.end()) {
+    const ClassTarget *target = this->findTarget(className);
+    if (target == nullptr) {
         event.exchange->respond(makeRefusal(Outcome::Invalid, Reason::UnknownClass));
         return;
     }
@@ -147,8 +141,8 @@
     if (region.empty()) {
         region = this->options.dispatcher.region.value();
     }
-    event.exchange->respond(makeLookupResponse(className, target->second.service,
-                                               RegionName(region), this->state, wallClockMs()));
+    event.exchange->respond(makeLookupResponse(className, target->service, RegionName(region),
+                                               this->state, wallClockMs()));
 }
 
 void DecisionLoop::handleCall(CallerEvent event)
@@ -240,8 +234,8 @@
 
 void DecisionLoop::startAttempt(const AttemptOrder &order)
 {
-    const OpenCall &call = this->calls.at(order.call);
-    HttpRequest request = call.request;
+    OpenCall &call = this->calls.at(order.call);
+    HttpRequest &request = call.request;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(order.timeout);
     request.headers.set("Bronzeshed-Deadline-Ms", std::to_string(left.count()));
     request.headers.set("Bronzeshed-Depth", std::to_string(call.headers.depth));
--- a/src/entry/decisionloop.h
+++ b/src/entry/decisionloop.h
@@ -21,7 +21,7 @@
     DispatcherOptions dispatcher;
     LedgerLimits ledger;
     Incarnation incarnation; ///< of this process
-    Duration freshness = std::chrono::seconds(6); ///< age of control state that stops new work
+    Duration freshness = ControlFreshness; ///< age of control state that stops new work
 };
 
 /** What connects the decision thread with the other threads. */
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -11,7 +11,6 @@
 constexpr std::size_t AttemptsPerCall = 2;
 constexpr std::size_t MaxProbes = 1024;
 constexpr std::size_t MetricEvents = 16384;
-constexpr unsigned IncarnationRandomBits = 22;
 constexpr std::chrono::milliseconds TickPeriod{100};
 /** Longer than the longest deadline that a call may have. */
 constexpr std::chrono::minutes InFlightLimit{11};
@@ -19,10 +18,8 @@
 /** A number that is higher for a later start of the same instance. */
 Incarnation makeIncarnation()
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     SeededRandom random = makeSystemRandom();
-    return Incarnation((static_cast<std::uint64_t>(ms) << IncarnationRandomBits)
+    return Incarnation((static_cast<std::uint64_t>(wallClockMs()) << IncarnationRandomBits)
                        | random.below(1U << IncarnationRandomBits));
 }
 
--- a/src/entry/lookup.cpp
+++ b/src/entry/lookup.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-constexpr unsigned RandomBits = 22;
 constexpr std::int64_t PeriodMs = std::chrono::milliseconds(PeriodClock::Length).count();
 
 } // namespace
 
 std::string makeTicket(const Member &member, std::int64_t nowMs)
 {
-    const auto startMs = static_cast<std::int64_t>(member.incarnation.value() >> RandomBits);
+    const auto startMs
+        = static_cast<std::int64_t>(member.incarnation.value() >> IncarnationRandomBits);
     const std::int64_t period = std::max<std::int64_t>(0, (nowMs - startMs) / PeriodMs);
     return incarnationDigits(member.incarnation) + "-" + std::to_string(period);
 }
--- a/src/membership/controlstate.h
+++ b/src/membership/controlstate.h
@@ -43,6 +43,9 @@
     bool operator==(const Member &) const = default;
 };
 
+/** An entry takes no new work on control state that was confirmed longer ago than this. */
+constexpr std::chrono::seconds ControlFreshness{6};
+
 /** What an agent tells its entry. */
 struct ControlState
 {
