--- a/src/entry/upstreamport.cpp
+++ b/src/entry/upstreamport.cpp
@@ -87,7 +87,7 @@
     const AttemptId id(FirstProbeId + ++this->lastProbe);
     this->pool.send(
         id, order.upstream.endpoint, request, ConnectionUse::RecentlyUsed, order.timeout,
-        [this, upstream = order.upstream.id](ExchangeResult result) {
+        [this, upstream = order.upstream.id](const ExchangeResult &result) {
             const bool healthy
                 = result.status == ExchangeStatus::Answered && result.response.status == 200;
             ProbeEvent event{upstream, healthy};
