Add the latency to callers, between regions and of new connections in the stand-ins

Cause: the demos reported latencies without the 1 ms to callers, the 20 ms between regions and the 1 ms of a new connection that both deployments have. Ruled out: a delay in the entry, which would change the measured program. Conclusion: the demo's figures now include the distances; control traffic still has none.

--- a/src/replay/callrunner.cpp
+++ b/src/replay/callrunner.cpp
@@ -131,16 +131,28 @@
     }
     call.request = this->makeRequest(call);
     ++call.record.attempts;
+    this->after(this->latencyOf(call), call.index, [this](Call &open) { this->send(open); });
+}
+
+Duration CallRunner::latencyOf(const Call &call) const
+{
+    const RegionName &region = call.entries[call.entry].region;
+    const bool isFar = !region.isEmpty() && region != call.key.region;
+    return this->options.callerLatency
+        + (isFar ? this->options.regionLatency : std::chrono::microseconds(0));
+}
+
+void CallRunner::send(Call &call)
+{
     // A connection that was silent for a while may be dead, which a repeatable call can afford.
     const auto use = call.record.repeatable ? ConnectionUse::AnyIdle : ConnectionUse::RecentlyUsed;
-    this->transport.send(entry.endpoint, call.request, use,
-                         call.deadline + this->options.timeoutMargin,
-                         [this, index = call.index](const ExchangeResult &result) {
-                             const auto found = this->open.find(index);
-                             if (found != this->open.end()) {
-                                 this->handleResult(*found->second, result);
-                             }
-                         });
+    this->transport.send(
+        call.entries[call.entry].endpoint, call.request, use,
+        call.deadline + this->options.timeoutMargin,
+        [this, index = call.index, latency = this->latencyOf(call)](const ExchangeResult &result) {
+            this->after(latency, index,
+                        [this, result](Call &open) { this->handleResult(open, result); });
+        });
 }
 
 HttpRequest CallRunner::makeRequest(Call &call)
@@ -212,7 +224,7 @@
         return;
     }
     this->directory.forget(call.key);
-    this->pauseThen(call, &CallRunner::lookUp);
+    this->after(this->options.pause, call.index, [this](Call &open) { this->lookUp(open); });
 }
 
 void CallRunner::repeat(Call &call)
@@ -226,18 +238,22 @@
         this->useNextEntry(call);
         return;
     }
-    this->pauseThen(call, &CallRunner::attempt);
+    this->after(this->options.pause, call.index, [this](Call &open) { this->attempt(open); });
 }
 
-void CallRunner::pauseThen(Call &call, void (CallRunner::*step)(Call &))
+void CallRunner::after(Duration delay, std::size_t index, std::function<void(Call &)> step)
 {
-    this->timers.once(this->clock.now() + this->options.pause,
-                      [this, index = call.index, step](TimePoint) {
-                          const auto found = this->open.find(index);
-                          if (found != this->open.end()) {
-                              (this->*step)(*found->second);
-                          }
-                      });
+    const auto run = [this, index, step = std::move(step)] {
+        const auto found = this->open.find(index);
+        if (found != this->open.end()) {
+            step(*found->second);
+        }
+    };
+    if (delay == Duration::zero()) {
+        run();
+        return;
+    }
+    this->timers.once(this->clock.now() + delay, [run](TimePoint) { run(); });
 }
 
 void CallRunner::finish(Call &call, CallEnd end)
--- a/src/replay/callrunner.h
+++ b/src/replay/callrunner.h
@@ -7,6 +7,7 @@
 #include "replay/entrydirectory.h"
 #include "replay/trace.h"
 
+#include <functional>
 #include <memory>
 
 namespace bronzeshed {
@@ -21,6 +22,8 @@
     /** Added to the deadline, so that the entry's own answer about it arrives first. */
     std::chrono::milliseconds timeoutMargin{500};
     bool direct = false; ///< calls upstreams, whose answers state no outcome
+    std::chrono::microseconds callerLatency{0}; ///< one way, between a caller and an entry
+    std::chrono::microseconds regionLatency{0}; ///< one way, added for an entry of another region
 };
 
 /**
@@ -52,12 +55,16 @@
 
     void lookUp(Call &call);
     void attempt(Call &call);
+    void send(Call &call);
+    /** One-way latency to the entry that the call uses. */
+    Duration latencyOf(const Call &call) const;
     HttpRequest makeRequest(Call &call);
     void handleResult(Call &call, const ExchangeResult &result);
     void handleResponse(Call &call, const HttpResponse &response);
     void useNextEntry(Call &call);
     void repeat(Call &call);
-    void pauseThen(Call &call, void (CallRunner::*step)(Call &));
+    /** Runs @p step after @p delay if the call is still open then; at once without a delay. */
+    void after(Duration delay, std::size_t index, std::function<void(Call &)> step);
     void finish(Call &call, CallEnd end);
 
     const Clock &clock;
--- a/src/replay/entrydirectory.cpp
+++ b/src/replay/entrydirectory.cpp
@@ -58,7 +58,8 @@
         }
         const auto &entry = item.get_object();
         answer.entries.push_back({parseEndpoint(requireText(entry, "address"), "lookup answer"),
-                                  requireText(entry, "ticket")});
+                                  requireText(entry, "ticket"),
+                                  RegionName(requireText(entry, "region"))});
     }
     return answer;
 }
@@ -66,7 +67,7 @@
 FixedDirectory::FixedDirectory(const std::vector<Endpoint> &endpoints)
 {
     for (const Endpoint &endpoint : endpoints) {
-        this->entries.push_back({endpoint, "0000000000000000-0"});
+        this->entries.push_back({endpoint, "0000000000000000-0", {}});
     }
 }
 
--- a/src/replay/entrydirectory.h
+++ b/src/replay/entrydirectory.h
@@ -17,6 +17,7 @@
 {
     Endpoint endpoint;
     std::string ticket;
+    RegionName region; ///< empty if not known
 };
 
 /** What a lookup answer says. */
--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t MaxCallsPerSecond = 100000;
 constexpr std::uint64_t MaxSeconds = 3600;
 constexpr std::uint64_t MaxGraceMs = 600000;
+constexpr std::uint64_t MaxLatencyUs = 1000000;
 
 std::vector<Endpoint> readEndpoints(const Settings &settings, const std::string &name)
 {
@@ -25,6 +26,11 @@
     return endpoints;
 }
 
+std::chrono::microseconds readLatency(const Settings &settings, const std::string &name)
+{
+    return std::chrono::microseconds(settings.number(name, 0, MaxLatencyUs));
+}
+
 std::ifstream openInput(const std::string &path)
 {
     std::ifstream file(path);
@@ -62,7 +68,9 @@
     options.declaration = parseDeclaration(declaration.str());
     options.targets = readEndpoints(settings, "targets");
     options.upstreams = readEndpoints(settings, "upstreams");
-    options.direct = settings.isOn("direct");
+    options.caller.direct = settings.isOn("direct");
+    options.caller.callerLatency = readLatency(settings, "caller-latency-us");
+    options.caller.regionLatency = readLatency(settings, "region-latency-us");
     options.grace = settings.milliseconds("grace-ms", 0, MaxGraceMs);
     std::ofstream latencies;
     if (!settings.text("latencies").empty()) {
@@ -83,6 +91,8 @@
         readProfile(settings);
         return;
     }
+    readLatency(settings, "caller-latency-us");
+    readLatency(settings, "region-latency-us");
     if (readEndpoints(settings, "targets").empty()) {
         throw SettingsError("flag --targets is not given", "name at least one address");
     }
@@ -105,6 +115,8 @@
         {"targets", "", "addresses of entries to ask for lookups, separated by commas"},
         {"upstreams", "", "addresses of all upstream stand-ins, separated by commas"},
         {"direct", "", "call the targets as upstreams, without lookups", false, true},
+        {"caller-latency-us", "0", "one-way latency between caller and entry in microseconds"},
+        {"region-latency-us", "0", "one-way latency added for an entry of another region"},
         {"grace-ms", "30000", "time for open calls after the last start"},
         {"latencies", "", "file for the latency of each answered call"},
         {"generate", "", "print a generated trace instead of replaying one", false, true},
--- a/src/replay/replay.cpp
+++ b/src/replay/replay.cpp
@@ -30,7 +30,7 @@
 std::unique_ptr<EntryDirectory> makeDirectory(const ReplayOptions &options, const Clock &clock,
                                               TimerService &timers, CallTransport &transport)
 {
-    if (options.direct) {
+    if (options.caller.direct) {
         return std::make_unique<FixedDirectory>(options.targets);
     }
     return std::make_unique<LookupDirectory>(clock, timers, transport, options.targets);
@@ -123,9 +123,8 @@
     limits.idlePerEndpoint = 64;
     PoolTransport transport(limits);
     const auto directory = makeDirectory(options, clock, timers, transport);
-    CallerOptions caller;
-    caller.direct = options.direct;
-    CallRunner runner(clock, timers, random, transport, *directory, options.declaration, caller);
+    CallRunner runner(clock, timers, random, transport, *directory, options.declaration,
+                      options.caller);
     runCalls(options, clock, timers, transport, runner);
     transport.stop();
     return report(options, runner, fetchExecutions(options.upstreams), output);
--- a/src/replay/replay.h
+++ b/src/replay/replay.h
@@ -17,7 +17,7 @@
     Declaration declaration;
     std::vector<Endpoint> targets; ///< entries to ask, or upstreams if direct
     std::vector<Endpoint> upstreams; ///< asked for their executions at the end
-    bool direct = false;
+    CallerOptions caller;
     std::chrono::milliseconds grace{30000}; ///< for calls still open after the last start
     std::ostream *latencies = nullptr; ///< gets a line "call latency_us" for each answered call
 };
--- a/src/standins/upstreambehaviour.h
+++ b/src/standins/upstreambehaviour.h
@@ -30,6 +30,7 @@
     std::chrono::microseconds meanWork{5000};
     std::size_t maxQueue = 16;
     std::chrono::microseconds latency{0}; ///< one way
+    std::chrono::microseconds connectLatency{0}; ///< added to the first request of a connection
     std::chrono::milliseconds reportLag{0}; ///< age of what /health and /load show
     std::chrono::milliseconds coldStart{0};
     bool noisy = false; ///< slow at random times
--- a/src/standins/upstreamhandler.cpp
+++ b/src/standins/upstreamhandler.cpp
@@ -42,14 +42,24 @@
     if (this->handleControl(request, *exchange)) {
         return;
     }
-    if (this->options.latency == Duration::zero()) {
+    const Duration latency = this->takeLatency(exchange->connectionNumber());
+    if (latency == Duration::zero()) {
         this->receive(std::move(request), std::move(exchange));
         return;
     }
-    this->after(this->options.latency,
-                [this, request = std::move(request), exchange = std::move(exchange)] {
-                    this->receive(request, exchange);
-                });
+    this->after(latency, [this, request = std::move(request), exchange = std::move(exchange)] {
+        this->receive(request, exchange);
+    });
+}
+
+Duration UpstreamHandler::takeLatency(std::uint64_t connection)
+{
+    Duration latency = this->options.latency;
+    if (this->options.connectLatency > Duration::zero()
+        && this->usedConnections.insert(connection).second) {
+        latency += this->options.connectLatency;
+    }
+    return latency;
 }
 
 bool UpstreamHandler::handleControl(const HttpRequest &request, HttpExchange &exchange)
--- a/src/standins/upstreamhandler.h
+++ b/src/standins/upstreamhandler.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 
 namespace bronzeshed {
 
@@ -40,6 +41,8 @@
     /** @return whether the request was one to the stand-in itself */
     bool handleControl(const HttpRequest &request, HttpExchange &exchange);
     HttpResponse changeState(const HttpRequest &request, const HttpExchange &exchange);
+    /** Latency of the request that arrives on a connection now. */
+    Duration takeLatency(std::uint64_t connection);
     void receive(HttpRequest request, std::shared_ptr<HttpExchange> exchange);
     bool refuse(const std::shared_ptr<HttpExchange> &exchange);
     void startWaiting();
@@ -60,6 +63,7 @@
     WorkNumber lastWork = 0;
     unsigned running = 0;
     std::uint64_t lastSilentConnection = 0;
+    std::set<std::uint64_t> usedConnections; ///< only while opening one has a latency
     LaggedValue<std::size_t> load;
     LaggedValue<std::string> health;
     std::map<std::string, unsigned> executions;
--- a/src/standins/upstreammain.cpp
+++ b/src/standins/upstreammain.cpp
@@ -21,6 +21,8 @@
     options.meanWork = std::chrono::microseconds(settings.number("work-us", 1, MaxMicros));
     options.maxQueue = settings.number("queue", 0, MaxSlots);
     options.latency = std::chrono::microseconds(settings.number("latency-us", 0, MaxMicros));
+    options.connectLatency
+        = std::chrono::microseconds(settings.number("connect-latency-us", 0, MaxMicros));
     options.reportLag = settings.milliseconds("report-lag-ms", 0, MaxMs);
     options.coldStart = settings.milliseconds("cold-ms", 0, MaxMs);
     options.noisy = settings.isOn("noisy");
@@ -60,6 +62,7 @@
         {"work-us", "5000", "mean work of a request in microseconds"},
         {"queue", "16", "requests that wait; more are refused"},
         {"latency-us", "0", "one-way latency in microseconds, added to requests and answers"},
+        {"connect-latency-us", "0", "latency in microseconds of opening a connection"},
         {"report-lag-ms", "500", "age of what /health and /load show"},
         {"cold-ms", "0", "time after the start at a third of the speed"},
         {"noisy", "", "work at a third of the speed at random times", false, true},
--- a/tests/replay/callrunnertest.cpp
+++ b/tests/replay/callrunnertest.cpp
@@ -83,18 +83,21 @@
     {
         const Sent lookup = this->transport.take();
         BOOST_REQUIRE(lookup.request.path() == "/bronzeshed/lookup");
-        lookup.callback(makeResult(200, "answered",
-                                   R"({"valid_ms":8000,"entries":[)"
-                                   R"({"address":"127.0.0.1:1","ticket":"t1-0"},)"
-                                   R"({"address":"127.0.0.1:2","ticket":"t2-0"}]})"));
+        lookup.callback(
+            makeResult(200, "answered",
+                       R"({"valid_ms":8000,"entries":[)"
+                       R"({"address":"127.0.0.1:1","region":"near","ticket":"t1-0"},)"
+                       R"({"address":"127.0.0.1:2","region":"far","ticket":"t2-0"}]})"));
     }
 
-    void pause()
+    void advance(Duration time)
     {
-        this->clock.advance(CallerOptions{}.pause);
+        this->clock.advance(time);
         this->timers.fire(this->clock.now());
     }
 
+    void pause() { this->advance(CallerOptions{}.pause); }
+
     const CallRecord &record() { return this->runner.records().at(0); }
 
     ManualClock clock;
@@ -126,6 +129,31 @@
     BOOST_TEST(this->record().latency.count() == 105000000);
 }
 
+// Guards against reported latencies that leave out the way to an entry of another region and back.
+BOOST_AUTO_TEST_CASE(latency_includes_the_distance_to_the_entry)
+{
+    CallerOptions options;
+    options.callerLatency = std::chrono::milliseconds(1);
+    options.regionLatency = std::chrono::milliseconds(20);
+    CallRunner distant(this->clock, this->timers, this->random, this->transport, this->directory,
+                       this->declaration, options);
+    TraceCall call;
+    call.className = ClassName("reads");
+    call.region = RegionName("near");
+    distant.start(0, call, this->clock.now());
+    this->answerLookup();
+    this->advance(std::chrono::milliseconds(1));
+    this->transport.take().callback({ExchangeStatus::NotSent, {}});
+    this->advance(std::chrono::milliseconds(1));
+    this->advance(std::chrono::milliseconds(20));
+    BOOST_TEST(this->transport.sent.empty());
+    this->advance(std::chrono::milliseconds(1));
+    const Sent sent = this->transport.take();
+    sent.callback(makeAnswer(sent));
+    this->advance(std::chrono::milliseconds(21));
+    BOOST_TEST(distant.records().at(0).latency.count() == 44000000);
+}
+
 // Guards against a second run: what may have run is repeated under the same identity only.
 BOOST_AUTO_TEST_CASE(lost_connection_repeats_the_same_identity)
 {
