--- a/tests/entry/ledgercoordinatortest.cpp
+++ b/tests/entry/ledgercoordinatortest.cpp
@@ -1,20 +1,13 @@
 #include "entry/ledgercoordinator.h"
 
+#include "recordingexchange.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace bronzeshed;
 
 namespace {
 
-class FakeExchange : public HttpExchange
-{
-public:
-    void respond(HttpResponse response) override { this->responses.push_back(std::move(response)); }
-    void onClientGone(std::function<void()>) override { }
-
-    std::vector<HttpResponse> responses;
-};
-
 class FakePeers : public LedgerPeers
 {
 public:
@@ -32,7 +25,7 @@
     /** Sends a call; its exchange is the last of this->exchanges. */
     bool admit(Incarnation incarnation, char nonce)
     {
-        this->exchanges.push_back(std::make_shared<FakeExchange>());
+        this->exchanges.push_back(std::make_shared<RecordingExchange>());
         this->lastCall = this->lastCall.next();
         return this->coordinator.admit({this->lastCall, identity(incarnation, nonce), 5,
                                         this->clock.now() + std::chrono::seconds(2),
@@ -46,16 +39,7 @@
     }
 
     /** "outcome/reason" of the one response to call @p index, or how many there were. */
-    std::string told(std::size_t index) const
-    {
-        const auto &responses = this->exchanges.at(index)->responses;
-        if (responses.size() != 1) {
-            return std::to_string(responses.size()) + " responses";
-        }
-        const HttpHeaders &headers = responses.front().headers;
-        return headers.find("Bronzeshed-Outcome").value_or("") + "/"
-            + headers.find("Bronzeshed-Reason").value_or("");
-    }
+    std::string told(std::size_t index) const { return this->exchanges.at(index)->told(); }
 
     void pass(Duration time)
     {
@@ -70,7 +54,7 @@
     FakePeers peers;
     LedgerCoordinator coordinator{this->clock, this->timers, Own, LedgerLimits{}, this->peers};
     std::vector<Member> members;
-    std::vector<std::shared_ptr<FakeExchange>> exchanges;
+    std::vector<std::shared_ptr<RecordingExchange>> exchanges;
     CallId lastCall;
 };
 
