--- a/src/replay/callrecord.h
+++ b/src/replay/callrecord.h
@@ -32,6 +32,7 @@
     Duration latency = Duration::zero(); ///< from the scheduled time to the end
     unsigned attempts = 0;
     bool repeatable = false;
+    bool upstreamFailed = false; ///< the answer was an error of the upstream (5xx)
     std::vector<UsedIdentity> identities; ///< of a call that is not repeatable
 };
 
--- a/src/replay/callrunner.cpp
+++ b/src/replay/callrunner.cpp
@@ -191,6 +191,8 @@
     const CallEnd end = this->options.direct ? outcomeOfDirect(response) : outcomeOf(response);
     switch (end) {
     case CallEnd::Answered: {
+        constexpr unsigned FirstServerError = 500;
+        call.record.upstreamFailed = response.status >= FirstServerError;
         const bool right = response.status != 200 || isEchoAnswer(response.body, call.request);
         this->finish(call, right ? CallEnd::Answered : CallEnd::Wrong);
         return;
--- a/src/replay/callstatistics.cpp
+++ b/src/replay/callstatistics.cpp
@@ -44,6 +44,7 @@
         break;
     case CallEnd::Answered:
         ++this->answered;
+        this->failed += record.upstreamFailed ? 1 : 0;
         this->latencies.push_back(record.latency);
         this->withinTarget += record.latency <= this->target ? 1 : 0;
         break;
@@ -74,7 +75,9 @@
         this->ranNotRun += identity.saidNotRun && count > 0 ? 1 : 0;
     }
     this->doubled += runs > 1 ? 1 : 0;
-    this->lost += record.end == CallEnd::Answered && runs == 0 ? 1 : 0;
+    // An upstream that fails fast answers with an error without running the request.
+    const bool mustHaveRun = record.end == CallEnd::Answered && !record.upstreamFailed;
+    this->lost += mustHaveRun && runs == 0 ? 1 : 0;
 }
 
 bool ClassStatistics::hasViolation() const
@@ -98,8 +101,8 @@
         + " p99_ms=" + formatMs(quantile(sorted, 0.99)) + " target_ms=" + formatMs(this->target)
         + " p50_ms=" + formatMs(quantile(sorted, 0.5))
         + " p999_ms=" + formatMs(quantile(sorted, 0.999)) + " lost=" + count(this->lost)
-        + " invalid=" + count(this->invalid) + " ran_not_run=" + count(this->ranNotRun)
-        + " attempts=" + count(this->attempts) + " within_target=" + share;
+        + " failed=" + count(this->failed) + " invalid=" + count(this->invalid) + " ran_not_run="
+        + count(this->ranNotRun) + " attempts=" + count(this->attempts) + " within_target=" + share;
 }
 
 } // namespace bronzeshed
--- a/src/replay/callstatistics.h
+++ b/src/replay/callstatistics.h
@@ -44,6 +44,7 @@
     Duration target;
     std::uint64_t calls = 0;
     std::uint64_t answered = 0;
+    std::uint64_t failed = 0; ///< answered with an error of the upstream
     std::uint64_t notRun = 0;
     std::uint64_t unknown = 0;
     std::uint64_t invalid = 0;
--- a/tests/replay/callstatisticstest.cpp
+++ b/tests/replay/callstatisticstest.cpp
@@ -84,6 +84,10 @@
     const auto notExecuted = add(makeRecord(CallEnd::Answered, {{"a"}}), {});
     BOOST_TEST(contains(notExecuted, " lost=1 "));
     BOOST_TEST(notExecuted.hasViolation());
+    CallRecord refused = makeRecord(CallEnd::Answered, {{"a"}});
+    refused.upstreamFailed = true;
+    BOOST_TEST(contains(add(refused, {}), " failed=1 "));
+    BOOST_TEST(!add(refused, {}).hasViolation());
     CallRecord repeatable = makeRecord(CallEnd::Answered, {});
     repeatable.repeatable = true;
     BOOST_TEST(!add(repeatable, {}).hasViolation());
