--- a/src/rpc/control.capnp
+++ b/src/rpc/control.capnp
@@ -26,10 +26,6 @@
   dead @3;
 }
 
-# In a sync, members without an id are the words of a version report: configVersion is a version,
-# incarnation a bit mask of 64 of the members that are not dead in the order of their ids (bit 0 is
-# the first), counter the hash of these members without their versions. For each version there are
-# as many words as it takes to cover all members. An agent that does not know them drops them.
 struct MemberMessage {
   id @0 :Text;
   incarnation @1 :UInt64;
@@ -43,6 +39,18 @@
   configVersion @9 :UInt64;
 }
 
+struct VersionWordMessage {
+  version @0 :UInt64;
+  members @1 :UInt64;  # bit mask of 64 of the members that are not dead, in the order of their ids
+}
+
+# The versions in force where both sides know the same members. For each version there are as many
+# words as it takes to cover all members.
+struct VersionReportMessage {
+  membersHash @0 :UInt64;  # of the members without their versions
+  words @1 :List(VersionWordMessage);
+}
+
 struct LeaveMarkMessage {
   upstream @0 :Text;
   counter @1 :UInt64;
@@ -88,9 +96,11 @@
 interface Peer {
   exchange @0 (digest :Digest) -> (digest :Digest);
   sync @1 (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text,
-           digest :Digest)
-      -> (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text);
-  push @2 (record :Text, members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage)) -> ();
+           digest :Digest, versions :VersionReportMessage)
+      -> (members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage), record :Text,
+          versions :VersionReportMessage);
+  push @2 (record :Text, members :List(MemberMessage), leaveMarks :List(LeaveMarkMessage),
+           versions :VersionReportMessage) -> ();
 }
 
 # What an agent serves on its one port.
--- a/src/rpc/control.capnp.h
+++ b/src/rpc/control.capnp.h
@@ -30,6 +30,8 @@
 };
 CAPNP_DECLARE_ENUM(MemberStateMessage, dec826d6eb2e99ec);
 CAPNP_DECLARE_SCHEMA(887b7cf5664e11ed);
+CAPNP_DECLARE_SCHEMA(9553e547874b5764);
+CAPNP_DECLARE_SCHEMA(829bc541040f159d);
 CAPNP_DECLARE_SCHEMA(8b448188bd0885e9);
 CAPNP_DECLARE_SCHEMA(f9f3bae0b62073df);
 CAPNP_DECLARE_SCHEMA(d818adb591e8549c);
@@ -113,6 +115,36 @@
   };
 };
 
+struct VersionWordMessage {
+  VersionWordMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9553e547874b5764, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct VersionReportMessage {
+  VersionReportMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(829bc541040f159d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LeaveMarkMessage {
   LeaveMarkMessage() = delete;
 
@@ -283,7 +315,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c588262b0b09abac, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c588262b0b09abac, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -298,7 +330,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ecb403104d88fb9a, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ecb403104d88fb9a, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -313,7 +345,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ccf4046d916ef213, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ccf4046d916ef213, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -802,6 +834,173 @@
 };
 #endif  // !CAPNP_LITE
 
+class VersionWordMessage::Reader {
+public:
+  typedef VersionWordMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getMembers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionWordMessage::Builder {
+public:
+  typedef VersionWordMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getMembers();
+  inline void setMembers( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionWordMessage::Pipeline {
+public:
+  typedef VersionWordMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class VersionReportMessage::Reader {
+public:
+  typedef VersionReportMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMembersHash() const;
+
+  inline bool hasWords() const;
+  inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Reader getWords() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class VersionReportMessage::Builder {
+public:
+  typedef VersionReportMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getMembersHash();
+  inline void setMembersHash( ::uint64_t value);
+
+  inline bool hasWords();
+  inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Builder getWords();
+  inline void setWords( ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Builder initWords(unsigned int size);
+  inline void adoptWords(::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>> disownWords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class VersionReportMessage::Pipeline {
+public:
+  typedef VersionReportMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LeaveMarkMessage::Reader {
 public:
   typedef LeaveMarkMessage Reads;
@@ -1699,6 +1898,9 @@
   inline bool hasDigest() const;
   inline  ::bronzeshed::rpc::Digest::Reader getDigest() const;
 
+  inline bool hasVersions() const;
+  inline  ::bronzeshed::rpc::VersionReportMessage::Reader getVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1755,6 +1957,13 @@
   inline void adoptDigest(::capnp::Orphan< ::bronzeshed::rpc::Digest>&& value);
   inline ::capnp::Orphan< ::bronzeshed::rpc::Digest> disownDigest();
 
+  inline bool hasVersions();
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder getVersions();
+  inline void setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value);
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder initVersions();
+  inline void adoptVersions(::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value);
+  inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> disownVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1774,6 +1983,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::bronzeshed::rpc::Digest::Pipeline getDigest();
+  inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline getVersions();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1808,6 +2018,9 @@
   inline bool hasRecord() const;
   inline  ::capnp::Text::Reader getRecord() const;
 
+  inline bool hasVersions() const;
+  inline  ::bronzeshed::rpc::VersionReportMessage::Reader getVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1857,6 +2070,13 @@
   inline void adoptRecord(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRecord();
 
+  inline bool hasVersions();
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder getVersions();
+  inline void setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value);
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder initVersions();
+  inline void adoptVersions(::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value);
+  inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> disownVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1875,6 +2095,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline getVersions();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1909,6 +2130,9 @@
   inline bool hasLeaveMarks() const;
   inline  ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>::Reader getLeaveMarks() const;
 
+  inline bool hasVersions() const;
+  inline  ::bronzeshed::rpc::VersionReportMessage::Reader getVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1958,6 +2182,13 @@
   inline void adoptLeaveMarks(::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::LeaveMarkMessage,  ::capnp::Kind::STRUCT>> disownLeaveMarks();
 
+  inline bool hasVersions();
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder getVersions();
+  inline void setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value);
+  inline  ::bronzeshed::rpc::VersionReportMessage::Builder initVersions();
+  inline void adoptVersions(::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value);
+  inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> disownVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1976,6 +2207,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline getVersions();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3053,6 +3285,82 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t VersionWordMessage::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionWordMessage::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionWordMessage::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionWordMessage::Reader::getMembers() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionWordMessage::Builder::getMembers() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void VersionWordMessage::Builder::setMembers( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t VersionReportMessage::Reader::getMembersHash() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t VersionReportMessage::Builder::getMembersHash() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void VersionReportMessage::Builder::setMembersHash( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool VersionReportMessage::Reader::hasWords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool VersionReportMessage::Builder::hasWords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Reader VersionReportMessage::Reader::getWords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Builder VersionReportMessage::Builder::getWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void VersionReportMessage::Builder::setWords( ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>::Builder VersionReportMessage::Builder::initWords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void VersionReportMessage::Builder::adoptWords(
+    ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>> VersionReportMessage::Builder::disownWords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeshed::rpc::VersionWordMessage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool LeaveMarkMessage::Reader::hasUpstream() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3833,6 +4141,45 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SyncParams::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncParams::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Reader Peer::SyncParams::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::SyncParams::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline Peer::SyncParams::Pipeline::getVersions() {
+  return  ::bronzeshed::rpc::VersionReportMessage::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SyncParams::Builder::setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::SyncParams::Builder::initVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncParams::Builder::adoptVersions(
+    ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> Peer::SyncParams::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::SyncResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3935,6 +4282,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::SyncResults::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SyncResults::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Reader Peer::SyncResults::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::SyncResults::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline Peer::SyncResults::Pipeline::getVersions() {
+  return  ::bronzeshed::rpc::VersionReportMessage::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::SyncResults::Builder::setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::SyncResults::Builder::initVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Peer::SyncResults::Builder::adoptVersions(
+    ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> Peer::SyncResults::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Peer::PushParams::Reader::hasRecord() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4037,6 +4423,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Peer::PushParams::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::PushParams::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Reader Peer::PushParams::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::PushParams::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeshed::rpc::VersionReportMessage::Pipeline Peer::PushParams::Pipeline::getVersions() {
+  return  ::bronzeshed::rpc::VersionReportMessage::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Peer::PushParams::Builder::setVersions( ::bronzeshed::rpc::VersionReportMessage::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeshed::rpc::VersionReportMessage::Builder Peer::PushParams::Builder::initVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Peer::PushParams::Builder::adoptVersions(
+    ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeshed::rpc::VersionReportMessage> Peer::PushParams::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::bronzeshed::rpc::VersionReportMessage>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Control::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/rpc/conversion.cpp
+++ b/src/rpc/conversion.cpp
@@ -81,18 +81,24 @@
     return member;
 }
 
-void writeVersionWord(rpc::MemberMessage::Builder message, const VersionReport &report,
-                      std::size_t index)
+void writeVersionReport(rpc::VersionReportMessage::Builder message, const VersionReport &report)
 {
-    message.setConfigVersion(report.words.at(index).version.value());
-    message.setIncarnation(report.words.at(index).members);
-    message.setCounter(report.membersHash);
+    message.setMembersHash(report.membersHash);
+    auto words = message.initWords(static_cast<unsigned>(report.words.size()));
+    for (unsigned i = 0; i < words.size(); ++i) {
+        words[i].setVersion(report.words[i].version.value());
+        words[i].setMembers(report.words[i].members);
+    }
 }
 
-void readVersionWord(rpc::MemberMessage::Reader message, VersionReport &report)
+VersionReport readVersionReport(rpc::VersionReportMessage::Reader message)
 {
-    report.membersHash = message.getCounter();
-    report.words.push_back({ConfigVersion(message.getConfigVersion()), message.getIncarnation()});
+    VersionReport report;
+    report.membersHash = message.getMembersHash();
+    for (const auto word : message.getWords()) {
+        report.words.push_back({ConfigVersion(word.getVersion()), word.getMembers()});
+    }
+    return report;
 }
 
 void writeUpstream(rpc::UpstreamMessage::Builder message, const UpstreamInfo &upstream)
--- a/src/rpc/conversion.h
+++ b/src/rpc/conversion.h
@@ -14,11 +14,8 @@
 void writeMember(rpc::MemberMessage::Builder message, const Member &member);
 Member readMember(rpc::MemberMessage::Reader message);
 
-/** Writes one word of a version report as a member without an id. */
-void writeVersionWord(rpc::MemberMessage::Builder message, const VersionReport &report,
-                      std::size_t index);
-/** Reads a member without an id and adds it to the report. */
-void readVersionWord(rpc::MemberMessage::Reader message, VersionReport &report);
+void writeVersionReport(rpc::VersionReportMessage::Builder message, const VersionReport &report);
+VersionReport readVersionReport(rpc::VersionReportMessage::Reader message);
 
 void writeUpstream(rpc::UpstreamMessage::Builder message, const UpstreamInfo &upstream);
 UpstreamInfo readUpstream(rpc::UpstreamMessage::Reader message);
@@ -33,14 +30,12 @@
 template<typename Builder>
 void writeUpdate(Builder message, const PeerUpdate &update)
 {
-    const auto memberCount = static_cast<unsigned>(update.members.size());
-    const auto wordCount = static_cast<unsigned>(update.versions.words.size());
-    auto members = message.initMembers(memberCount + wordCount);
-    for (unsigned i = 0; i < memberCount; ++i) {
+    auto members = message.initMembers(static_cast<unsigned>(update.members.size()));
+    for (unsigned i = 0; i < members.size(); ++i) {
         writeMember(members[i], update.members[i]);
     }
-    for (unsigned i = 0; i < wordCount; ++i) {
-        writeVersionWord(members[memberCount + i], update.versions, i);
+    if (!update.versions.words.empty()) {
+        writeVersionReport(message.initVersions(), update.versions);
     }
     auto marks = message.initLeaveMarks(static_cast<unsigned>(update.leaveMarks.size()));
     unsigned next = 0;
@@ -58,17 +53,14 @@
 {
     PeerUpdate update;
     for (const auto member : message.getMembers()) {
-        if (member.getId().size() == 0) {
-            readVersionWord(member, update.versions);
-        } else {
-            update.members.push_back(readMember(member));
-        }
+        update.members.push_back(readMember(member));
     }
     for (const auto mark : message.getLeaveMarks()) {
         update.leaveMarks[UpstreamId(mark.getUpstream().cStr())]
             = {mark.getCounter(), mark.getLeaving()};
     }
     update.record = message.getRecord().cStr();
+    update.versions = readVersionReport(message.getVersions());
     return update;
 }
 
