--- a/src/rpc/conversion.cpp
+++ b/src/rpc/conversion.cpp
@@ -81,6 +81,26 @@
     return member;
 }
 
+void writeVersionReport(rpc::VersionReportMessage::Builder message, const VersionReport &report)
+{
+    message.setMembersHash(report.membersHash);
+    auto words = message.initWords(static_cast<unsigned>(report.words.size()));
+    for (unsigned i = 0; i < words.size(); ++i) {
+        words[i].setVersion(report.words[i].version.value());
+        words[i].setMembers(report.words[i].members);
+    }
+}
+
+VersionReport readVersionReport(rpc::VersionReportMessage::Reader message)
+{
+    VersionReport report;
+    report.membersHash = message.getMembersHash();
+    for (const auto word : message.getWords()) {
+        report.words.push_back({ConfigVersion(word.getVersion()), word.getMembers()});
+    }
+    return report;
+}
+
 void writeUpstream(rpc::UpstreamMessage::Builder message, const UpstreamInfo &upstream)
 {
     message.setId(upstream.id.value());
--- a/src/rpc/conversion.h
+++ b/src/rpc/conversion.h
@@ -14,6 +14,9 @@
 void writeMember(rpc::MemberMessage::Builder message, const Member &member);
 Member readMember(rpc::MemberMessage::Reader message);
 
+void writeVersionReport(rpc::VersionReportMessage::Builder message, const VersionReport &report);
+VersionReport readVersionReport(rpc::VersionReportMessage::Reader message);
+
 void writeUpstream(rpc::UpstreamMessage::Builder message, const UpstreamInfo &upstream);
 UpstreamInfo readUpstream(rpc::UpstreamMessage::Reader message);
 
@@ -31,6 +34,9 @@
     for (unsigned i = 0; i < members.size(); ++i) {
         writeMember(members[i], update.members[i]);
     }
+    if (!update.versions.words.empty()) {
+        writeVersionReport(message.initVersions(), update.versions);
+    }
     auto marks = message.initLeaveMarks(static_cast<unsigned>(update.leaveMarks.size()));
     unsigned next = 0;
     for (const auto &[upstream, mark] : update.leaveMarks) {
@@ -54,6 +60,7 @@
             = {mark.getCounter(), mark.getLeaving()};
     }
     update.record = message.getRecord().cStr();
+    update.versions = readVersionReport(message.getVersions());
     return update;
 }
 
