Never reuse a version after a partition with a fallen-back store

Cause: the version of a change was one more than the highest version known to the accepting agent. An agent cut off from the holders of versions 2 to 4, with a store that had fallen back to 1, accepted another change as 2. After the partition both sides held different declarations under one version and never exchanged them. Second cause: a leave mark taken while the store was unreachable was written only by the agent that took it, so it was never recorded if that agent was restarted first.

Ruled out: a tie-break between equal versions, since two declarations would still have been accepted under one version; random gaps in the numbers, which leave a chance of reuse.

Change: a new version is also above the store's revision, which goes on rising when the value falls back. The first agent adds leave marks that the store lacks, with the check for a lower version it makes every 10 s. A rewrite after a fall back takes its version by the same rule.

Conclusion: versions are unique as long as the store's revisions rise.

--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -129,17 +129,16 @@
     try {
         const ConfigRecord own = this->agent.record();
         const View view = this->readView();
-        if (!ConfigHistory::isNewer(view.stored.version, own.version)) {
+        const ConfigChange change = this->makeChange(RestoreOperator, "restore", {});
+        auto next = this->restoredRecord(view, own, change);
+        if (!next) {
             return false;
         }
-        this->requireNewest(own);
-        const ConfigChange change = this->makeChange(RestoreOperator, "restore", {});
-        ConfigRecord next = ConfigHistory::restored(own, view.stored, change);
-        this->shorten(next);
-        const ChangeResult result = this->commit(view.revision, next);
+        this->shorten(*next);
+        const ChangeResult result = this->commit(view.revision, *next);
         LogLine("config_restored", LogLevel::Warning)
             .add("stored_version", view.stored.version.value())
-            .add("version", next.version.value())
+            .add("version", next->version.value())
             .add("done", std::holds_alternative<ChangeAccepted>(result));
         return std::holds_alternative<ChangeAccepted>(result);
     } catch (const Error &error) {
@@ -148,6 +147,24 @@
     }
 }
 
+/** Returns nothing if the store lacks nothing that the fleet holds. */
+std::optional<ConfigRecord> ConfigKeeper::restoredRecord(const View &view, const ConfigRecord &own,
+                                                         const ConfigChange &change)
+{
+    if (ConfigHistory::isNewer(view.stored.version, own.version)) {
+        this->requireNewest(own);
+        return ConfigHistory::restored(own, view.stored, this->nextVersion(view), change);
+    }
+    // The agent that took a mark may have ended before it could record the mark.
+    ConfigRecord complete = view.newest;
+    this->prune(complete);
+    if (complete.leaveMarks == view.stored.leaveMarks) {
+        return std::nullopt;
+    }
+    this->requireNewest(complete);
+    return ConfigHistory::withLeaveMarks(complete, this->nextVersion(view), {}, change);
+}
+
 ConfigKeeper::View ConfigKeeper::readView()
 {
     const StoredValue stored = this->store.get(ConfigKey);
@@ -198,18 +215,23 @@
 
 ConfigVersion ConfigKeeper::nextVersion(const View &view)
 {
-    return ConfigHistory::nextVersion(view.stored.version, view.newest.version,
+    return ConfigHistory::nextVersion(view.revision, view.stored.version, view.newest.version,
                                       this->fleetVersions(false));
 }
 
-/** Makes the record fit into one value of the store. */
-void ConfigKeeper::shorten(ConfigRecord &record)
+void ConfigKeeper::prune(ConfigRecord &record)
 {
     std::set<UpstreamId> listed;
     for (const UpstreamInfo &upstream : this->agent.upstreams()) {
         listed.insert(upstream.id);
     }
     ConfigHistory::pruneLeaveMarks(record, listed);
+}
+
+/** Makes the record fit into one value of the store. */
+void ConfigKeeper::shorten(ConfigRecord &record)
+{
+    this->prune(record);
     this->archive(record);
     ConfigHistory::checkSize(record);
 }
--- a/src/agent/configkeeper.h
+++ b/src/agent/configkeeper.h
@@ -42,7 +42,8 @@
     std::size_t recordPending();
 
     /**
-     * Swaps the agent's record back in if the store holds a lower version and this agent is first.
+     * Swaps the agent's record back in if the store holds a lower version or lacks a leave mark,
+     * and this agent is first.
      * @return whether the store was written
      */
     bool restoreIfLower();
@@ -68,6 +69,9 @@
     /** @throws UnavailableError if a live member has a version that is neither here nor stored */
     void requireNewest(const ConfigRecord &newest);
     ConfigVersion nextVersion(const View &view);
+    std::optional<ConfigRecord> restoredRecord(const View &view, const ConfigRecord &own,
+                                               const ConfigChange &change);
+    void prune(ConfigRecord &record);
     void shorten(ConfigRecord &record);
     void archive(ConfigRecord &record);
     bool writePage(const AuditPage &page);
--- a/src/config/confighistory.cpp
+++ b/src/config/confighistory.cpp
@@ -49,10 +49,10 @@
     return offered > known;
 }
 
-ConfigVersion ConfigHistory::nextVersion(ConfigVersion stored, ConfigVersion own,
-                                         const std::vector<ConfigVersion> &fleet)
+ConfigVersion ConfigHistory::nextVersion(std::uint64_t revision, ConfigVersion stored,
+                                         ConfigVersion own, const std::vector<ConfigVersion> &fleet)
 {
-    ConfigVersion highest = std::max(stored, own);
+    ConfigVersion highest = std::max({ConfigVersion(revision), stored, own});
     for (const ConfigVersion version : fleet) {
         highest = std::max(highest, version);
     }
@@ -98,10 +98,10 @@
 }
 
 ConfigRecord ConfigHistory::restored(const ConfigRecord &fleet, const ConfigRecord &stored,
-                                     const ConfigChange &change)
+                                     ConfigVersion next, const ConfigChange &change)
 {
     ConfigRecord record = fleet;
-    return mergeHistory(record, stored) ? advance(record, record.version.next(), change) : record;
+    return mergeHistory(record, stored) ? advance(record, next, change) : record;
 }
 
 std::optional<AuditPage> ConfigHistory::pageToArchive(const ConfigRecord &record)
--- a/src/config/confighistory.h
+++ b/src/config/confighistory.h
@@ -50,9 +50,14 @@
     /** Whether a record of version @p offered replaces one of version @p known. */
     static bool isNewer(ConfigVersion known, ConfigVersion offered);
 
-    /** The version after the highest one known anywhere in the fleet. */
-    static ConfigVersion nextVersion(ConfigVersion stored, ConfigVersion own,
-                                     const std::vector<ConfigVersion> &fleet);
+    /**
+     * The version after the highest one known anywhere in the fleet, and above @p revision. The
+     * store's revisions go on rising when its value falls back, so a change never reuses a version
+     * that only agents on the other side of a partition hold.
+     * @param revision the store's revision that the change replaces
+     */
+    static ConfigVersion nextVersion(std::uint64_t revision, ConfigVersion stored,
+                                     ConfigVersion own, const std::vector<ConfigVersion> &fleet);
 
     /**
      * The record that follows @p current with another declaration.
@@ -75,9 +80,12 @@
      */
     static bool mergeHistory(ConfigRecord &record, const ConfigRecord &other);
 
-    /** The fleet's record with the audit entries that only a lower stored record holds. */
+    /**
+     * The fleet's record with the audit entries that only a lower stored record holds. It gets the
+     * version @p next if that added anything.
+     */
     static ConfigRecord restored(const ConfigRecord &fleet, const ConfigRecord &stored,
-                                 const ConfigChange &change);
+                                 ConfigVersion next, const ConfigChange &change);
 
     /**
      * The page that must be written before @p record may be trimmed.
--- a/tests/agent/gossipcluster.h
+++ b/tests/agent/gossipcluster.h
@@ -24,6 +24,7 @@
     AgentState state;
     Gossip gossip;
     bool paused = false;
+    unsigned side = 0; ///< of a partition; messages between two sides are lost
 };
 
 /** Agents that exchange by direct calls, in the order of the calls of PeerClient. */
@@ -36,6 +37,8 @@
     void pushNews(unsigned from, unsigned to);
     /** Moves the time in steps; agents that are not paused tick and hear from their entries. */
     void pass(Duration time, Duration step);
+    /** One second's exchanges of an agent with the peers that it chooses, then its news. */
+    void gossipRound(unsigned from);
     void restart(unsigned index, bool entryToo);
     /** Ends all pauses and lets all agents exchange without losses. */
     void settle();
@@ -44,6 +47,8 @@
     std::vector<std::unique_ptr<TestAgent>> agents;
 
 private:
+    bool reaches(const TestAgent &from, const TestAgent &to) const;
+
     std::uint64_t lastIncarnation = 0;
 };
 
