Put a leave mark in force before it waits for a silent store

Cause: the operator API ran leave marks on the thread that also runs changes and waits for the store. With a store that accepts connections and answers nothing, each change takes 2 s or more, and up to 16 may wait, so a mark took effect only after all of them.

Ruled out: a shorter store timeout, which only moves the limit; a second worker thread, since the mark would still wait for the keeper's lock.

Change: ConfigKeeper::putMark() puts a mark in force without any call to the store, on the server's thread, and queues it for recording; recordMark() runs on the worker as before. When too many jobs wait, a mark is answered as in force, not yet recorded, instead of 503.

Conclusion: a leave mark no longer depends on the store.

--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -12,10 +12,6 @@
 
 /** Repeats of one swap whose reply was lost, before its outcome is reported as unknown. */
 constexpr int MaxSwaps = 3;
-/** Fresh reads for a leave mark that lost against another change. */
-constexpr int MaxMarkAttempts = 5;
-/** Marks that wait for the store; more would mean that an operator repeats them by script. */
-constexpr std::size_t MaxPendingMarks = 1024;
 /** Pages tried when older pages turn up that the record does not count. */
 constexpr int MaxPageAttempts = 1000;
 const std::string RestoreOperator = "bronzeshed";
@@ -45,7 +41,7 @@
 ChangeResult ConfigKeeper::apply(const std::string &declarationText, ConfigVersion base,
                                  const std::string &operatorName, const std::string &writeId)
 {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->storeMutex);
     const ConfigChange change = this->makeChange(operatorName, "apply", writeId);
     try {
         // Refuses a bad declaration without any call to the store.
@@ -69,60 +65,9 @@
     }
 }
 
-ChangeResult ConfigKeeper::setLeaving(const UpstreamId &upstream, bool leaving,
-                                      const std::string &operatorName, const std::string &writeId)
-{
-    const std::lock_guard lock(this->mutex);
-    const LeaveMarks known = this->agent.record().leaveMarks;
-    const auto upstreams = this->agent.upstreams();
-    const bool listed = std::any_of(upstreams.begin(), upstreams.end(),
-                                    [&](const UpstreamInfo &info) { return info.id == upstream; });
-    const auto mark = known.find(upstream);
-    if (!listed && mark == known.end()) {
-        return ChangeRefused{"upstream '" + upstream.value()
-                             + "' is not in the instance list; check the id with 'status'"};
-    }
-    if (this->pending.size() >= MaxPendingMarks) {
-        return ChangeRefused{"too many leave marks wait for the store; repeat when it answers"};
-    }
-    const std::uint64_t counter = mark == known.end() ? 1 : mark->second.counter + 1;
-    const std::string action = (leaving ? "leave " : "return ") + upstream.value();
-    PendingMark next{{{upstream, {counter, leaving}}},
-                     this->makeChange(operatorName, action, writeId)};
-    try {
-        // Refuses a malformed operator name before the mark takes effect anywhere.
-        ConfigHistory::withLeaveMarks({}, ConfigVersion(1), next.marks, next.change);
-    } catch (const Error &error) {
-        return ChangeRefused{error.what()};
-    }
-    this->agent.mergeMarks(next.marks);
-    ChangeResult result = this->record(next, true);
-    if (std::holds_alternative<ChangeAccepted>(result)) {
-        return result;
-    }
-    this->pending.push_back(next);
-    return MarkInForce{next.change.writeId};
-}
-
-std::size_t ConfigKeeper::recordPending()
-{
-    const std::lock_guard lock(this->mutex);
-    while (!this->pending.empty()) {
-        const ChangeResult result = this->record(this->pending.front(), false);
-        if (const auto *failure = std::get_if<StoreUnavailable>(&result)) {
-            LogLine("leave_mark_not_recorded", LogLevel::Warning).add("error", failure->error);
-        }
-        if (!std::holds_alternative<ChangeAccepted>(result)) {
-            break;
-        }
-        this->pending.pop_front();
-    }
-    return this->pending.size();
-}
-
 bool ConfigKeeper::restoreIfLower()
 {
-    const std::lock_guard lock(this->mutex);
+    const std::lock_guard lock(this->storeMutex);
     if (!this->agent.isFirstForConfig()) {
         return false;
     }
@@ -317,55 +262,12 @@
     }
 }
 
-ChangeResult ConfigKeeper::record(PendingMark &mark, bool isNewest)
-{
-    ChangeResult result = ChangeConflict{};
-    for (int attempt = 0; attempt < MaxMarkAttempts; ++attempt) {
-        result = this->tryRecord(mark, isNewest);
-        if (!std::holds_alternative<ChangeConflict>(result)) {
-            break;
-        }
-    }
-    return result;
-}
-
-/** Raises the mark's counter if a mark that this agent did not know would win against it. */
-void ConfigKeeper::raiseCounter(PendingMark &mark, const LeaveMarks &known)
-{
-    auto &[upstream, own] = *mark.marks.begin();
-    const auto found = known.find(upstream);
-    if (found != known.end() && !supersedes(own, found->second) && !(found->second == own)) {
-        own.counter = found->second.counter + 1;
-        this->agent.mergeMarks(mark.marks);
-    }
-}
-
-ChangeResult ConfigKeeper::tryRecord(PendingMark &mark, bool isNewest)
-{
-    try {
-        const View view = this->readView();
-        if (const auto entry = ConfigHistory::findWrite(view.newest, mark.change.writeId)) {
-            return ChangeAccepted{entry->to};
-        }
-        this->requireNewest(view.newest);
-        if (isNewest) {
-            this->raiseCounter(mark, view.newest.leaveMarks);
-        }
-        ConfigRecord next = ConfigHistory::withLeaveMarks(view.newest, this->nextVersion(view),
-                                                          mark.marks, mark.change);
-        this->shorten(next);
-        return this->commit(view.revision, next);
-    } catch (const Error &error) {
-        // The mark is in force already, so it waits whatever the reason.
-        return StoreUnavailable{error.what()};
-    }
-}
-
 ConfigChange ConfigKeeper::makeChange(const std::string &operatorName, std::string action,
                                       const std::string &writeId)
 {
     std::string id = writeId;
     if (id.empty()) {
+        const std::lock_guard lock(this->marksMutex);
         char buffer[33];
         std::snprintf(buffer, sizeof buffer, "%016llx%016llx",
                       static_cast<unsigned long long>(this->random.next()),
--- a/src/agent/configkeeper.h
+++ b/src/agent/configkeeper.h
@@ -12,12 +12,13 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace bronzeshed {
 
 /**
- * Changes the configuration record in the store. Calls block on the store; concurrent calls wait
- * for each other.
+ * Changes the configuration record in the store. Calls other than putMark() block on the store, and
+ * wait for each other.
  */
 class ConfigKeeper
 {
@@ -25,6 +26,14 @@
     /** Wall-clock time in milliseconds since 1970, for audit entries. */
     using WallClock = std::function<std::int64_t()>;
 
+    /** A mark that is in force, and the change that records it in the store. */
+    struct PendingMark
+    {
+        LeaveMarks marks;
+        ConfigChange change;
+    };
+    using MarkResult = std::variant<PendingMark, ChangeRefused>;
+
     ConfigKeeper(ConfigKeeperPort &agent, KeyValueStore &store, Random &random, WallClock clock);
 
     /**
@@ -34,9 +43,15 @@
     ChangeResult apply(const std::string &declarationText, ConfigVersion base,
                        const std::string &operatorName, const std::string &writeId = {});
 
-    /** Marks an upstream as leaving or returned, at once even if the store does not answer. */
-    ChangeResult setLeaving(const UpstreamId &upstream, bool leaving,
-                            const std::string &operatorName, const std::string &writeId = {});
+    /**
+     * Marks an upstream as leaving or returned, in force at once. Never waits for the store nor for
+     * a call that does. recordPending() records the mark if recordMark() is not called.
+     */
+    MarkResult putMark(const UpstreamId &upstream, bool leaving, const std::string &operatorName,
+                       const std::string &writeId = {});
+
+    /** Records a mark in the store; if that fails, recordPending() does so later. */
+    ChangeResult recordMark(PendingMark mark);
 
     /** Records the leave marks that could not be recorded yet. @return how many still wait */
     std::size_t recordPending();
@@ -57,12 +72,6 @@
         ConfigRecord newest;
     };
 
-    struct PendingMark
-    {
-        LeaveMarks marks;
-        ConfigChange change;
-    };
-
     View readView();
     ConfigRecord newestRecord(const ConfigRecord &stored, const ConfigRecord &own);
     std::vector<ConfigVersion> fleetVersions(bool liveOnly);
@@ -78,6 +87,8 @@
     ChangeResult commit(std::uint64_t revision, const ConfigRecord &record);
     std::optional<ChangeResult> settle(const ConfigRecord &record, std::uint64_t revision,
                                        bool maybeWritten);
+    std::optional<PendingMark> firstPending();
+    void removePending(const PendingMark &mark);
     /** @param isNewest whether the mark's command is newer than all that the store holds */
     ChangeResult record(PendingMark &mark, bool isNewest);
     ChangeResult tryRecord(PendingMark &mark, bool isNewest);
@@ -89,7 +100,8 @@
     KeyValueStore &store;
     Random &random;
     WallClock clock;
-    std::mutex mutex;
+    std::mutex storeMutex; ///< held during calls to the store; taken before marksMutex
+    std::mutex marksMutex; ///< of what follows and of random; never held during such a call
     std::deque<PendingMark> pending; ///< marks in force that the store does not hold yet
 };
 
--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -35,6 +35,16 @@
         || (request.method == "POST" && (path == LeavePath || path == ReturnPath));
 }
 
+HttpResponse loggedResponse(const HttpRequest &request, const ChangeResult &result)
+{
+    HttpResponse response = changeResponse(result);
+    LogLine("operator_change")
+        .add("operator", header(request, "Operator"))
+        .add("target", request.target)
+        .add("status", response.status);
+    return response;
+}
+
 } // namespace
 
 bool equalsInConstantTime(std::string_view expected, std::string_view given)
@@ -168,14 +178,12 @@
                             "give the version that GET /v1/declaration shows, 0 for the first"));
         return;
     }
-    this->runBlocking(exchange, [this, isApply, request = std::move(request)] {
-        HttpResponse response = changeResponse(isApply ? this->applyDeclaration(request)
-                                                       : this->markUpstream(request));
-        LogLine("operator_change")
-            .add("operator", header(request, "Operator"))
-            .add("target", request.target)
-            .add("status", response.status);
-        return response;
+    if (!isApply) {
+        this->markUpstream(request, exchange);
+        return;
+    }
+    this->runBlocking(exchange, [this, request = std::move(request)] {
+        return loggedResponse(request, this->applyDeclaration(request));
     });
 }
 
@@ -186,16 +194,36 @@
                               header(request, "Write-Id"));
 }
 
-ChangeResult OperatorApi::markUpstream(const HttpRequest &request)
+void OperatorApi::markUpstream(const HttpRequest &request, const Exchange &exchange)
 {
-    return this->keeper.setLeaving(UpstreamId(request.queryValue("upstream")),
-                                   request.path() == LeavePath, header(request, "Operator"),
-                                   header(request, "Write-Id"));
+    // In force before it waits for the jobs of a store that hangs.
+    const auto put = this->keeper.putMark(UpstreamId(request.queryValue("upstream")),
+                                          request.path() == LeavePath, header(request, "Operator"),
+                                          header(request, "Write-Id"));
+    if (const auto *refused = std::get_if<ChangeRefused>(&put)) {
+        exchange->respond(loggedResponse(request, *refused));
+        return;
+    }
+    const auto mark = std::get<ConfigKeeper::PendingMark>(put);
+    const bool waits = this->tryRunBlocking(exchange, [this, request, mark] {
+        return loggedResponse(request, this->keeper.recordMark(mark));
+    });
+    if (!waits) {
+        exchange->respond(loggedResponse(request, MarkInForce{mark.change.writeId}));
+    }
 }
 
 void OperatorApi::runBlocking(const Exchange &exchange, std::function<HttpResponse()> work)
 {
-    const bool accepted = this->worker.tryRun([exchange, work = std::move(work)] {
+    if (!this->tryRunBlocking(exchange, std::move(work))) {
+        exchange->respond(failureResponse(503, "too many operator requests wait; nothing was done",
+                                          "repeat in a few seconds or use another agent"));
+    }
+}
+
+bool OperatorApi::tryRunBlocking(const Exchange &exchange, std::function<HttpResponse()> work)
+{
+    return this->worker.tryRun([exchange, work = std::move(work)] {
         try {
             exchange->respond(work());
         } catch (const std::exception &error) {
@@ -203,10 +231,6 @@
             exchange->respond(changeResponse(ChangeUnknown{}));
         }
     });
-    if (!accepted) {
-        exchange->respond(failureResponse(503, "too many operator requests wait; nothing was done",
-                                          "repeat in a few seconds or use another agent"));
-    }
 }
 
 void OperatorApi::maintain()
--- a/src/agent/operatorapi.h
+++ b/src/agent/operatorapi.h
@@ -40,9 +40,11 @@
     void handleHistory(const HttpRequest &request, const Exchange &exchange);
     void handleChange(HttpRequest request, const Exchange &exchange);
     ChangeResult applyDeclaration(const HttpRequest &request);
-    ChangeResult markUpstream(const HttpRequest &request);
+    void markUpstream(const HttpRequest &request, const Exchange &exchange);
     HttpResponse readPage(std::uint64_t page);
     void runBlocking(const Exchange &exchange, std::function<HttpResponse()> work);
+    /** @return false if too many jobs wait; the exchange then has no response */
+    bool tryRunBlocking(const Exchange &exchange, std::function<HttpResponse()> work);
     void maintain();
 
     ConfigKeeperPort &agent;
--- a/tests/agent/configkeepertest.cpp
+++ b/tests/agent/configkeepertest.cpp
@@ -62,7 +62,7 @@
     const std::uint64_t revision = world.store.get(ConfigKey).revision;
     expectResult<ChangeRefused>(world.keepers[0]->apply("x = 1", First, "anna"));
     expectResult<ChangeRefused>(world.keepers[0]->apply(KeeperWorld::declaration(1), First, ""));
-    expectResult<ChangeRefused>(world.keepers[0]->setLeaving(UpstreamId("nobody"), true, "anna"));
+    expectResult<ChangeRefused>(setLeaving(*world.keepers[0], UpstreamId("nobody"), true, "anna"));
     const ChangeConflict conflict
         = expectResult<ChangeConflict>(world.apply(0, ConfigVersion(9), 1));
     BOOST_TEST(conflict.version.value() == 1U);
--- a/tests/agent/configkeeperworld.h
+++ b/tests/agent/configkeeperworld.h
@@ -142,6 +142,17 @@
     std::vector<std::unique_ptr<FakeAgent>> &fleet;
 };
 
+/** Puts a mark in force and records it, as the operator API does. */
+inline ChangeResult setLeaving(ConfigKeeper &keeper, const UpstreamId &upstream, bool leaving,
+                               const std::string &operatorName, const std::string &writeId = {})
+{
+    const auto put = keeper.putMark(upstream, leaving, operatorName, writeId);
+    if (const auto *refused = std::get_if<ChangeRefused>(&put)) {
+        return *refused;
+    }
+    return keeper.recordMark(std::get<ConfigKeeper::PendingMark>(put));
+}
+
 /** Several keepers over one store, and what their operators were told. */
 struct KeeperWorld
 {
@@ -188,7 +199,7 @@
         const std::string id = this->newId();
         const UpstreamId target("almanac-" + std::to_string(upstream % 3));
         return this->note(
-            id, this->keepers[keeper]->setLeaving(target, leaving, this->name(keeper), id));
+            id, setLeaving(*this->keepers[keeper], target, leaving, this->name(keeper), id));
     }
 
     static std::string name(std::size_t keeper) { return "operator-" + std::to_string(keeper); }
--- a/tests/agent/operatorapitest.cpp
+++ b/tests/agent/operatorapitest.cpp
@@ -145,4 +145,29 @@
     BOOST_TEST(!blocked);
 }
 
+// Guards against a leave mark that takes effect only after the jobs that wait for a silent store.
+BOOST_AUTO_TEST_CASE(leave_mark_is_in_force_while_the_store_hangs)
+{
+    Api api;
+    std::promise<void> hanging;
+    std::promise<void> release;
+    bool blocked = false;
+    api.world.store.beforeSwap = [&] {
+        hanging.set_value();
+        blocked = release.get_future().wait_for(std::chrono::seconds(30))
+            == std::future_status::timeout;
+    };
+    auto apply = std::make_shared<WaitingExchange>();
+    auto leave = std::make_shared<WaitingExchange>();
+    api.api.handleRequest(
+        {"PUT", "/v1/declaration", headersWith("secret"), KeeperWorld::declaration(5)}, apply);
+    hanging.get_future().wait();
+    api.api.handleRequest({"POST", "/v1/leave?upstream=almanac-0", headersWith("secret"), ""},
+                          leave);
+    BOOST_TEST(api.world.agents[0]->newest.leaveMarks.count(UpstreamId("almanac-0")) == 1U);
+    release.set_value();
+    BOOST_TEST(leave->promise.get_future().get().status == 200U);
+    BOOST_TEST(!blocked);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/agent/partitiontest.cpp
+++ b/tests/agent/partitiontest.cpp
@@ -124,8 +124,8 @@
     void mark(unsigned index, unsigned number, bool leaving)
     {
         const UpstreamId upstream("almanac-" + std::to_string(number));
-        const auto result = this->users[index]->keeper.setLeaving(
-            upstream, leaving, "m", "write-" + std::to_string(++this->lastId));
+        const auto result = setLeaving(this->users[index]->keeper, upstream, leaving, "m",
+                                       "write-" + std::to_string(++this->lastId));
         RC_ASSERT(!std::holds_alternative<ChangeRefused>(result));
         const LeaveMark now = this->state(index).record().leaveMarks.at(upstream);
         RC_ASSERT(now.leaving == leaving);
@@ -196,6 +196,17 @@
         this->note(this->stored().version, this->stored().writeId);
     }
 
+    void checkMembers()
+    {
+        for (unsigned i = 0; i < Size; ++i) {
+            const auto members = withoutDead(this->state(i).members());
+            RC_ASSERT(members.size() == Size);
+            for (const Member &member : members) {
+                RC_ASSERT(member.state == MemberState::Alive);
+            }
+        }
+    }
+
     void checkConverged()
     {
         const ConfigRecord expected = this->state(0).record();
@@ -307,6 +318,7 @@
         world.checkConverged();
         world.run(RestoreRounds + 2);
         world.checkConverged();
+        world.checkMembers();
         RC_ASSERT(world.stored().version == world.state(0).record().version);
         RC_ASSERT(world.stored().leaveMarks == world.state(0).record().leaveMarks);
     });
--- a/tests/processes/promisestest.cpp
+++ b/tests/processes/promisestest.cpp
@@ -23,15 +23,6 @@
     return response.headers.find("Bronzeshed-Outcome").value_or("none");
 }
 
-HttpResponse markLeaving(const TestInstance &instance, const std::string &upstream)
-{
-    HttpHeaders headers;
-    headers.add("Operator", "tester");
-    headers.add("Authorization", "Bearer test-token");
-    return TestFleet::send(instance.operatorEndpoint, "POST", "/v1/leave?upstream=" + upstream, "",
-                           headers);
-}
-
 /** Looks up and calls until stopped; asks one known entry after the other for addresses. */
 class SteadyLoad
 {
@@ -167,7 +158,7 @@
     fleet.setStoreFault("down");
     fleet.instances[2].entry->signal(SIGSTOP);
     fleet.instances[2].agent->signal(SIGSTOP);
-    const unsigned status = markLeaving(fleet.instances[0], "almanac-0").status;
+    const unsigned status = TestFleet::markLeaving(fleet.instances[0], "almanac-0").status;
     BOOST_TEST((status == 200 || status == 202));
     std::this_thread::sleep_for(std::chrono::seconds(8));
     const unsigned before = TestFleet::executionsAt(fleet.upstreams[0]);
--- a/tests/processes/testfleet.cpp
+++ b/tests/processes/testfleet.cpp
@@ -91,16 +91,18 @@
     }
 }
 
-TestInstance TestFleet::startInstance(const std::string &id) const
+TestInstance TestFleet::startInstance(const std::string &id,
+                                      const std::optional<Endpoint> &store) const
 {
     TestInstance instance;
     instance.id = id;
     const std::vector<std::string> place{"--region", "puget",    "--zone",
                                          "puget-a",  "--listen", "127.0.0.1:0"};
-    std::vector<std::string> agentFlags{"--instance",       id,
-                                        "--operator-token", Token,
-                                        "--store",          this->platformEndpoint.toString(),
-                                        "--instance-list",  this->platformEndpoint.toString()};
+    std::vector<std::string> agentFlags{
+        "--instance",       id,
+        "--operator-token", Token,
+        "--store",          store.value_or(this->platformEndpoint).toString(),
+        "--instance-list",  this->platformEndpoint.toString()};
     agentFlags.insert(agentFlags.end(), place.begin(), place.end());
     instance.agent = std::make_unique<ChildProcess>("bronzeshed-agent", agentFlags);
     instance.agentEndpoint = instance.agent->endpoint();
@@ -188,6 +190,14 @@
     return send(instance.operatorEndpoint, "PUT", "/v1/declaration", declaration, headers);
 }
 
+HttpResponse TestFleet::markLeaving(const TestInstance &instance, const std::string &upstream)
+{
+    HttpHeaders headers;
+    headers.add("Operator", "tester");
+    headers.add("Authorization", "Bearer " + Token);
+    return send(instance.operatorEndpoint, "POST", "/v1/leave?upstream=" + upstream, "", headers);
+}
+
 void TestFleet::setStoreFault(const std::string &mode) const
 {
     send(this->platformEndpoint, "PUT", "/control/fault?part=store", mode);
--- a/tests/processes/testfleet.h
+++ b/tests/processes/testfleet.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,7 +62,12 @@
     /** Sets a fault of the store: none, down, slow or lose-reply. */
     void setStoreFault(const std::string &mode) const;
     void publishInstances() const;
-    TestInstance startInstance(const std::string &id) const;
+    /** @param store where the agent reaches the store, or the platform's own address */
+    TestInstance startInstance(const std::string &id,
+                               const std::optional<Endpoint> &store = {}) const;
+
+    /** Marks an upstream as leaving through an agent. */
+    static HttpResponse markLeaving(const TestInstance &instance, const std::string &upstream);
 
     std::unique_ptr<ChildProcess> platform;
     Endpoint platformEndpoint;
