Count the calls of the last minute by class in the entry

Cause: operators see the target of a class but not whether it holds; the entry kept totals since its start only.

Change: CallWindow keeps 12 buckets of 5 s for one class, a fixed size without allocation per call. The decision thread owns one window per declared class and drops it when the class is removed or gets another target, so that calls are never judged by a former target. GET /bronzeshed/calls on the caller port returns the counts of classes that had calls.

Ruled out: fields in the EntryReport of watchState and a Peer RPC call. The admin port does not serve either: its address is not in the member record. Reading the caller port needs no report each second and no state shared between threads.

Checks: metrics-test call_window/counts_each_call_for_55_to_60_seconds. Seen to fail with buckets that are not emptied when reused (61 calls instead of 56) and with buckets summed whatever their age (60 calls instead of 0).

--- a/src/entry/callmetrics.cpp
+++ b/src/entry/callmetrics.cpp
@@ -25,6 +25,26 @@
     return "failed";
 }
 
+/** One call that ended in the given way. */
+CallCounts countOf(Outcome outcome, bool inTime)
+{
+    CallCounts one;
+    switch (outcome) {
+    case Outcome::Answered:
+        ++(inTime ? one.withinTarget : one.late);
+        break;
+    case Outcome::NotRun:
+        ++one.notRun;
+        break;
+    case Outcome::Unknown:
+        ++one.unknown;
+        break;
+    case Outcome::Invalid:
+        break;
+    }
+    return one;
+}
+
 } // namespace
 
 CallMetrics::CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion)
@@ -81,6 +101,9 @@
     measured.reason = reasonName(reason);
     measured.latency = this->clock.now() - arrival;
     measured.target = target == nullptr ? Duration::zero() : Duration(target->answerWithin);
+    if (target != nullptr) {
+        this->countCall(*target, outcome, measured.latency);
+    }
     if (outcome == Outcome::Unknown) {
         LogLine("call_outcome_unknown", LogLevel::Warning)
             .add("class", measured.className.value())
@@ -92,4 +115,35 @@
     this->hub.record(std::move(measured));
 }
 
+void CallMetrics::countCall(const ClassTarget &target, Outcome outcome, Duration latency)
+{
+    auto found = this->watched.find(target.name);
+    if (found == this->watched.end()) {
+        const Watched fresh{target.answerWithin, CallWindow(this->clock)};
+        found = this->watched.emplace(target.name, fresh).first;
+    }
+    found->second.window.add(countOf(outcome, latency <= target.answerWithin));
+}
+
+void CallMetrics::declarationChanged(const Declaration &declaration)
+{
+    std::erase_if(this->watched, [&](const auto &item) {
+        const auto found = declaration.classes.find(item.first);
+        return found == declaration.classes.end()
+            || item.second.target != found->second.answerWithin;
+    });
+}
+
+CallCountsByClass CallMetrics::lastMinute() const
+{
+    CallCountsByClass counts;
+    for (const auto &[name, item] : this->watched) {
+        const CallCounts sum = item.window.counts();
+        if (sum.calls() > 0) {
+            counts[name] = sum;
+        }
+    }
+    return counts;
+}
+
 } // namespace bronzeshed
--- a/src/entry/callmetrics.h
+++ b/src/entry/callmetrics.h
@@ -3,6 +3,7 @@
 
 #include "config/declaration.h"
 #include "entry/callparser.h"
+#include "metrics/callwindow.h"
 #include "metrics/metricshub.h"
 #include "routing/dispatcheroutput.h"
 
@@ -23,6 +24,11 @@
     void callFinished(const CallHeaders &headers, const ClassTarget *target, TimePoint arrival,
                       Outcome outcome, Reason reason);
 
+    /** Forgets the counts of classes that are gone or whose target has changed. */
+    void declarationChanged(const Declaration &declaration);
+    /** Counts of the last minute, of the classes that had calls. */
+    CallCountsByClass lastMinute() const;
+
 private:
     struct Running
     {
@@ -34,10 +40,20 @@
         std::size_t requestBytes = 0;
     };
 
+    /** Calls of one class against one target. */
+    struct Watched
+    {
+        Duration target;
+        CallWindow window;
+    };
+
+    void countCall(const ClassTarget &target, Outcome outcome, Duration latency);
+
     MetricsHub &hub;
     const Clock &clock;
     RegionName ownRegion;
     std::unordered_map<AttemptId, Running> running;
+    std::unordered_map<ClassName, Watched> watched; ///< declared classes only, so it is bounded
 };
 
 } // namespace bronzeshed
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -89,6 +89,7 @@
     try {
         if (!newer->declarationText.empty()) {
             this->declaration = parseDeclaration(newer->declarationText);
+            this->metrics.declarationChanged(this->declaration);
         }
     } catch (const DeclarationError &error) {
         LogLine("declaration_rejected", LogLevel::Error)
@@ -118,6 +119,11 @@
         this->handleLookup(event);
         return;
     }
+    if (event.request.path() == CallCountsPath) {
+        event.exchange->respond(
+            makeJsonResponse(200, serializeCallCounts(this->metrics.lastMinute())));
+        return;
+    }
     this->handleCall(std::move(event));
 }
 
--- /dev/null
+++ b/tests/metrics/callwindowtest.cpp
@@ -0,0 +1,30 @@
+#include "metrics/callwindow.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+
+BOOST_AUTO_TEST_SUITE(call_window)
+
+// Guards against calls that are counted for longer or shorter than a minute, and against buckets
+// of the last round that count again.
+BOOST_AUTO_TEST_CASE(counts_each_call_for_55_to_60_seconds)
+{
+    ManualClock clock;
+    CallWindow window(clock);
+    for (int second = 0; second < 300; ++second) {
+        window.add({1, 0, 0, 0});
+        const auto expected = second < 60 ? second + 1 : 55 + second % 5 + 1;
+        BOOST_REQUIRE_EQUAL(window.counts().calls(), static_cast<std::uint64_t>(expected));
+        clock.advance(std::chrono::seconds(1));
+    }
+    clock.advance(std::chrono::seconds(54));
+    BOOST_TEST(window.counts().calls() == 5U);
+    clock.advance(std::chrono::seconds(1));
+    BOOST_TEST(window.counts().calls() == 0U);
+    window.add({1, 2, 3, 4});
+    BOOST_TEST((parseCallCounts(serializeCallCounts({{ClassName("c"), window.counts()}}))
+                == CallCountsByClass{{ClassName("c"), {1, 2, 3, 4}}}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
