Show in status whether the target of each class holds

Cause: 'status' printed the target of a class but not whether it holds, which is what operators watch.

A class holds if the declared share of its calls was answered within the target; calls that were not run or have an unknown outcome count against it. The text and JSON of 'status' show calls, share, state and the instances that are not counted.

Ruled out: reading the counts for every GET /v1/status. Ruled out as well: the worker that waits for the store; with the store down, status would wait for its timeouts.

The share is cut off after two decimals in the text, so that 98.999% is not shown as 99.00% beside 'missed'.

--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -54,18 +54,21 @@
 }
 
 OperatorApi::OperatorApi(ConfigKeeperPort &agent, KeyValueStore &store, ConfigKeeper &keeper,
-                         std::string token)
+                         FleetCallsSource &calls, std::string token)
     : agent(agent)
     , store(store)
     , keeper(keeper)
+    , calls(calls)
     , token(std::move(token))
     , worker(MaxWaitingJobs, MaintenancePeriod, [this] { this->maintain(); })
+    , callsWorker(MaxWaitingJobs, MaintenancePeriod, [] {})
 {
 }
 
 void OperatorApi::stop()
 {
     this->worker.stop();
+    this->callsWorker.stop();
 }
 
 void OperatorApi::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
@@ -111,8 +114,7 @@
     if (path == DeclarationPath) {
         exchange->respond(declarationResponse(this->agent.record()));
     } else if (path == "/v1/status") {
-        exchange->respond(
-            statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams()));
+        this->handleStatus(request, exchange);
     } else if (path == "/v1/history") {
         this->handleHistory(request, exchange);
     } else {
@@ -121,6 +123,21 @@
     }
 }
 
+void OperatorApi::handleStatus(const HttpRequest &request, const Exchange &exchange)
+{
+    // Counts are read only on request: 'apply' asks for the status ten times a second.
+    if (request.queryValue("calls") != "1") {
+        exchange->respond(
+            statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams()));
+        return;
+    }
+    runBlocking(this->callsWorker, exchange, [this] {
+        const FleetCalls fleet = this->calls.read();
+        return statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams(),
+                              &fleet);
+    });
+}
+
 void OperatorApi::handleHistory(const HttpRequest &request, const Exchange &exchange)
 {
     const std::string page = request.queryValue("page");
@@ -134,7 +151,7 @@
             failureResponse(400, "the page is not a number", "give a number below archived_pages"));
         return;
     }
-    this->runBlocking(exchange, [this, number] { return this->readPage(*number); });
+    runBlocking(this->worker, exchange, [this, number] { return this->readPage(*number); });
 }
 
 HttpResponse OperatorApi::readPage(std::uint64_t page)
@@ -168,7 +185,7 @@
                             "give the version that GET /v1/declaration shows, 0 for the first"));
         return;
     }
-    this->runBlocking(exchange, [this, isApply, request = std::move(request)] {
+    runBlocking(this->worker, exchange, [this, isApply, request = std::move(request)] {
         HttpResponse response = changeResponse(isApply ? this->applyDeclaration(request)
                                                        : this->markUpstream(request));
         LogLine("operator_change")
@@ -193,9 +210,10 @@
                                    header(request, "Write-Id"));
 }
 
-void OperatorApi::runBlocking(const Exchange &exchange, std::function<HttpResponse()> work)
+void OperatorApi::runBlocking(OperatorWorker &worker, const Exchange &exchange,
+                              std::function<HttpResponse()> work)
 {
-    const bool accepted = this->worker.tryRun([exchange, work = std::move(work)] {
+    const bool accepted = worker.tryRun([exchange, work = std::move(work)] {
         try {
             exchange->respond(work());
         } catch (const std::exception &error) {
--- a/src/agent/operatorapi.h
+++ b/src/agent/operatorapi.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_AGENT_OPERATORAPI_H
 
 #include "agent/configkeeper.h"
+#include "agent/fleetcalls.h"
 #include "agent/operatorworker.h"
 #include "http/httpserver.h"
 
@@ -13,7 +14,7 @@
 
 /**
  * The operators' HTTP interface of an agent.
- * - GET /v1/declaration, GET /v1/status, GET /v1/history[?page=N]
+ * - GET /v1/declaration, GET /v1/status[?calls=1], GET /v1/history[?page=N]
  * - PUT /v1/declaration with headers Base-Version and Operator
  * - POST /v1/leave?upstream=ID and /v1/return?upstream=ID with header Operator
  *
@@ -25,7 +26,7 @@
 public:
     /** @param token the bearer token that each request must carry; empty for none */
     OperatorApi(ConfigKeeperPort &agent, KeyValueStore &store, ConfigKeeper &keeper,
-                std::string token);
+                FleetCallsSource &calls, std::string token);
 
     void handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override;
 
@@ -37,20 +38,25 @@
 
     bool refuseUnauthorized(const HttpRequest &request, HttpExchange &exchange) const;
     void handleRead(const HttpRequest &request, const Exchange &exchange);
+    void handleStatus(const HttpRequest &request, const Exchange &exchange);
     void handleHistory(const HttpRequest &request, const Exchange &exchange);
     void handleChange(HttpRequest request, const Exchange &exchange);
     ChangeResult applyDeclaration(const HttpRequest &request);
     ChangeResult markUpstream(const HttpRequest &request);
     HttpResponse readPage(std::uint64_t page);
-    void runBlocking(const Exchange &exchange, std::function<HttpResponse()> work);
+    static void runBlocking(OperatorWorker &worker, const Exchange &exchange,
+                            std::function<HttpResponse()> work);
     void maintain();
 
     ConfigKeeperPort &agent;
     KeyValueStore &store;
     ConfigKeeper &keeper;
+    FleetCallsSource &calls;
     std::string token;
     unsigned maintenanceRuns = 0;
-    OperatorWorker worker; ///< declared last, so that it ends before what its jobs use
+    // Declared last, so that they end before what their jobs use.
+    OperatorWorker worker; ///< for jobs that wait for the store
+    OperatorWorker callsWorker; ///< for status, which must not wait for a store that is down
 };
 
 /** Compares two texts in a time that depends only on the length of @p given. */
--- a/src/agent/operatorreplies.cpp
+++ b/src/agent/operatorreplies.cpp
@@ -93,7 +93,36 @@
     return list;
 }
 
-json::array writeClasses(const std::string &declarationText)
+/** Whether the target holds. A call that was not answered counts against it. */
+const char *targetState(const CallCounts &counts, double share)
+{
+    if (counts.calls() == 0) {
+        return "no calls";
+    }
+    // The product of a decimal share and a count may be a little above the exact value.
+    constexpr double Rounding = 1e-9;
+    const auto calls = static_cast<double>(counts.calls());
+    const auto within = static_cast<double>(counts.withinTarget);
+    return within >= calls * (share - Rounding) ? "holds" : "missed";
+}
+
+json::object writeLastMinute(const CallCounts &counts, double share)
+{
+    const auto within = static_cast<double>(counts.withinTarget);
+    json::value sharePart;
+    if (counts.calls() > 0) {
+        sharePart = within / static_cast<double>(counts.calls());
+    }
+    return {{"calls", static_cast<std::int64_t>(counts.calls())},
+            {"within_target", static_cast<std::int64_t>(counts.withinTarget)},
+            {"late", static_cast<std::int64_t>(counts.late)},
+            {"not_run", static_cast<std::int64_t>(counts.notRun)},
+            {"unknown", static_cast<std::int64_t>(counts.unknown)},
+            {"share_within_target", sharePart},
+            {"state", targetState(counts, share)}};
+}
+
+json::array writeClasses(const std::string &declarationText, const FleetCalls *calls)
 {
     json::array classes;
     if (declarationText.empty()) {
@@ -101,12 +130,19 @@
     }
     const Declaration declaration = parseDeclaration(declarationText);
     for (const auto &[name, target] : declaration.classes) {
-        classes.push_back({{"name", name.value()},
-                           {"service", target.service.value()},
-                           {"answer_within_ms", target.answerWithin.count()},
-                           {"share", target.share},
-                           {"repeatable", target.repeatable},
-                           {"deadline_ms", target.deadline.count()}});
+        json::object item{{"name", name.value()},
+                          {"service", target.service.value()},
+                          {"answer_within_ms", target.answerWithin.count()},
+                          {"share", target.share},
+                          {"repeatable", target.repeatable},
+                          {"deadline_ms", target.deadline.count()}};
+        if (calls != nullptr) {
+            const auto found = calls->classes.find(name);
+            const bool hasCalls = found != calls->classes.end();
+            item["last_minute"]
+                = writeLastMinute(hasCalls ? found->second : CallCounts{}, target.share);
+        }
+        classes.push_back(std::move(item));
     }
     return classes;
 }
@@ -130,13 +166,21 @@
 }
 
 HttpResponse statusResponse(const ConfigRecord &record, const std::vector<Member> &members,
-                            const std::vector<UpstreamInfo> &upstreams)
+                            const std::vector<UpstreamInfo> &upstreams, const FleetCalls *calls)
 {
-    return reply(200,
-                 {{"version", toJson(record.version)},
-                  {"instances", writeMembers(members)},
-                  {"upstreams", writeUpstreams(record, upstreams)},
-                  {"classes", writeClasses(record.declarationText)}});
+    json::object body{{"version", toJson(record.version)},
+                      {"instances", writeMembers(members)},
+                      {"upstreams", writeUpstreams(record, upstreams)},
+                      {"classes", writeClasses(record.declarationText, calls)}};
+    if (calls != nullptr) {
+        json::array missing;
+        for (const InstanceId &id : calls->notCounted) {
+            missing.emplace_back(id.value());
+        }
+        body["asked_instances"] = static_cast<std::int64_t>(calls->instances);
+        body["not_counted"] = std::move(missing);
+    }
+    return reply(200, body);
 }
 
 HttpResponse historyResponse(const ConfigRecord &record)
--- a/src/agent/operatorservice.cpp
+++ b/src/agent/operatorservice.cpp
@@ -10,7 +10,8 @@
     , store(settings.endpoint("store"), timeout)
     , writeIds(makeSystemRandom())
     , keeper(adapter, store, writeIds, wallClockMs)
-    , api(adapter, store, keeper, settings.text("operator-token"))
+    , calls(adapter)
+    , api(adapter, store, keeper, calls, settings.text("operator-token"))
     , server(settings.endpoint("operator-listen"), HttpLimits{}, api)
 {
 }
--- a/src/agent/operatorservice.h
+++ b/src/agent/operatorservice.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_AGENT_OPERATORSERVICE_H
 
 #include "agent/configkeeperadapter.h"
+#include "agent/fleetcallsreader.h"
 #include "agent/operatorapi.h"
 #include "platform/httpkeyvaluestore.h"
 
@@ -27,6 +28,7 @@
     HttpKeyValueStore store;
     SeededRandom writeIds;
     ConfigKeeper keeper;
+    FleetCallsReader calls;
     OperatorApi api;
     HttpServer server;
 };
--- a/src/ctl/ctlcommands.cpp
+++ b/src/ctl/ctlcommands.cpp
@@ -163,7 +163,7 @@
 
 CtlExit CtlCommands::status()
 {
-    const json::value answer = this->client.read("/v1/status");
+    const json::value answer = this->client.read("/v1/status?calls=1");
     this->output << (this->options.json ? json::serialize(answer) + "\n" : formatStatus(answer));
     return CtlExit::Done;
 }
--- a/src/ctl/ctlreport.cpp
+++ b/src/ctl/ctlreport.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/json.hpp>
+#include <cstdio>
 #include <ctime>
 #include <sstream>
 
@@ -27,6 +28,47 @@
     return {buffer.data(), size};
 }
 
+/** Two decimals of a percentage, cut off: a share below its target must not look equal to it. */
+std::string formatShare(std::int64_t part, std::int64_t whole)
+{
+    std::array<char, 32> buffer{};
+    const std::int64_t hundredths = part * 10000 / whole;
+    std::snprintf(buffer.data(), buffer.size(), "%lld.%02lld%%",
+                  static_cast<long long>(hundredths / 100),
+                  static_cast<long long>(hundredths % 100));
+    return buffer.data();
+}
+
+std::string formatLastMinute(const json::object &item)
+{
+    const auto *found = item.if_contains("last_minute");
+    if (found == nullptr) {
+        return "  not reported: the agent is of an older version";
+    }
+    const std::int64_t calls = found->at("calls").as_int64();
+    const std::string state = "  " + textOf(*found, "state");
+    if (calls == 0) {
+        return state;
+    }
+    return "  " + std::to_string(calls) + " calls  "
+        + formatShare(found->at("within_target").as_int64(), calls) + " within target" + state;
+}
+
+std::string formatNotCounted(const json::object &status)
+{
+    const auto *missing = status.if_contains("not_counted");
+    if (missing == nullptr) {
+        return {};
+    }
+    const json::array &ids = missing->as_array();
+    std::string text = "not counted: " + std::to_string(ids.size()) + " of "
+        + std::to_string(status.at("asked_instances").as_int64()) + " instances";
+    for (const json::value &id : ids) {
+        text += (&id == &ids.front() ? ": " : ", ") + std::string(id.as_string());
+    }
+    return text + "\n";
+}
+
 const char *outcomeName(ChangeReply::Outcome outcome)
 {
     switch (outcome) {
@@ -124,12 +166,13 @@
              << textOf(item, "region") << "/" << textOf(item, "zone") << "  "
              << (item.at("leaving").as_bool() ? "leaving" : "in use") << "\n";
     }
-    text << "\nclasses\n";
+    text << "\nclasses, calls of the last minute\n";
     for (const json::value &item : status.at("classes").as_array()) {
         text << "  " << textOf(item, "name") << "  " << item.at("share").to_number<double>() * 100
-             << "% within " << item.at("answer_within_ms").as_int64() << " ms\n";
+             << "% within " << item.at("answer_within_ms").as_int64() << " ms"
+             << formatLastMinute(item.as_object()) << "\n";
     }
-    return text.str();
+    return text.str() + formatNotCounted(status.as_object());
 }
 
 std::string formatHistory(const json::value &history)
--- a/tests/agent/operatorapitest.cpp
+++ b/tests/agent/operatorapitest.cpp
@@ -19,16 +19,25 @@
     std::promise<HttpResponse> promise;
 };
 
+/** Counts given by the test. */
+class FakeCalls : public FleetCallsSource
+{
+public:
+    FleetCalls fleet;
+    FleetCalls read() override { return this->fleet; }
+};
+
 /** Operator API of one agent over the in-memory store. */
 struct Api
 {
     explicit Api(const std::string &token = "secret")
-        : api(*world.agents[0], world.store, *world.keepers[0], token)
+        : api(*world.agents[0], world.store, *world.keepers[0], calls, token)
     {
     }
     ~Api() { this->api.stop(); }
 
     KeeperWorld world{1};
+    FakeCalls calls;
     OperatorApi api;
 
     HttpResponse send(const std::string &method, const std::string &target,
@@ -125,6 +134,28 @@
     BOOST_TEST(!api.world.agents[0]->newest.leaveMarks.at(UpstreamId("almanac-1")).leaving);
 }
 
+// Guards against a class that is said to hold its target although too few calls were answered in
+// time, and against an instance whose calls are missing without notice.
+BOOST_AUTO_TEST_CASE(status_says_whether_a_target_holds)
+{
+    Api api;
+    const HttpHeaders headers = headersWith("secret");
+    const auto state = [&](const CallCounts &counts) {
+        api.calls.fleet.classes = {{ClassName("reads"), counts}};
+        const auto response = api.send("GET", "/v1/status?calls=1", headers);
+        const auto root = boost::json::parse(response.body);
+        return std::string(root.at("classes").at(0).at("last_minute").at("state").as_string());
+    };
+    BOOST_TEST(state({}) == "no calls");
+    BOOST_TEST(state({99, 1, 0, 0}) == "holds");
+    BOOST_TEST(state({9899, 101, 0, 0}) == "missed");
+    BOOST_TEST(state({98, 0, 1, 1}) == "missed");
+    api.calls.fleet.notCounted = {InstanceId("i2")};
+    BOOST_TEST(field(api.send("GET", "/v1/status?calls=1", headers), "not_counted") == "[\"i2\"]");
+    BOOST_TEST(api.send("GET", "/v1/status", headers).body.find("last_minute")
+               == std::string::npos);
+}
+
 // Guards against a slow store that holds up the server's thread.
 BOOST_AUTO_TEST_CASE(changes_run_on_a_thread_of_their_own)
 {
--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -199,6 +199,28 @@
     BOOST_TEST((empty.run() == CtlExit::Failed));
 }
 
+// Guards against a class shown without its state, a share that rounding lifts to its target, and
+// instances that are missing without notice.
+BOOST_AUTO_TEST_CASE(status_text_shows_which_targets_hold)
+{
+    const auto item = [](const std::string &name, const std::string &lastMinute) {
+        return R"({"name":")" + name + R"(","share":0.99,"answer_within_ms":50,"last_minute":)"
+            + lastMinute + "}";
+    };
+    const std::string body = R"({"version":3,"instances":[],"upstreams":[],"classes":[)"
+        + item("a", R"({"calls":200,"within_target":199,"state":"holds"})") + ","
+        + item("b", R"({"calls":100000,"within_target":98999,"state":"missed"})") + ","
+        + item("c", R"({"calls":0,"within_target":0,"state":"no calls"})")
+        + R"(],"asked_instances":3,"not_counted":["i1","i2"]})";
+    Run run("status", "", {{200, body}});
+    BOOST_TEST((run.run() == CtlExit::Done));
+    BOOST_TEST(run.sender.sent[0].second.target == "/v1/status?calls=1");
+    BOOST_TEST(run.printed("a  99% within 50 ms  200 calls  99.50% within target  holds\n"));
+    BOOST_TEST(run.printed("b  99% within 50 ms  100000 calls  98.99% within target  missed\n"));
+    BOOST_TEST(run.printed("c  99% within 50 ms  no calls\n"));
+    BOOST_TEST(run.printed("not counted: 2 of 3 instances: i1, i2\n"));
+}
+
 // Guards against a diff against nothing, and a base version that is not the one compared with.
 BOOST_AUTO_TEST_CASE(apply_uses_the_newest_version_as_base)
 {
