Print archived audit pages with history

Cause: 'history' printed the newest entries and a hint to read older pages with an HTTP client.

An entry that stands on two pages, as left behind by agents that archive at the same time, is printed once.

Ruled out: oldest entry first as before; with a limit, the newest entries are the ones asked for, and they would come last.

Check: ctl-test ctl/history_reads_archived_pages_up_to_the_limit.

--- a/src/ctl/ctlcommands.cpp
+++ b/src/ctl/ctlcommands.cpp
@@ -4,6 +4,7 @@
 #include "config/declaration.h"
 #include "config/declarationdiff.h"
 #include "ctl/ctlreport.h"
+#include "ctl/historyreport.h"
 
 #include <boost/json.hpp>
 #include <cstdio>
@@ -170,9 +171,9 @@
 
 CtlExit CtlCommands::history()
 {
-    const json::value answer = this->client.read("/v1/history");
-    this->output << (this->options.json ? json::serialize(answer) + "\n" : formatHistory(answer));
-    return CtlExit::Done;
+    const HistoryReport report = readHistory(this->client, this->options.limit);
+    this->output << formatHistory(report, this->options.json);
+    return report.problem.empty() ? CtlExit::Done : CtlExit::Failed;
 }
 
 CtlExit CtlCommands::waitInForce(std::uint64_t version)
--- a/src/ctl/ctloptions.cpp
+++ b/src/ctl/ctloptions.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint64_t MaxWaitMs = 600000;
+constexpr std::uint64_t MaxLimit = 1000000;
 
 /** What a command takes and needs. */
 struct CommandSpec
@@ -64,6 +65,7 @@
              {"token", "", "the agents' operator token; set it by the environment only"},
              {"wait-ms", "0", "how long apply waits until the version is in force everywhere"},
              {"base-version", "", "version that the file was derived from (default: the newest)"},
+             {"limit", "100", "most audit entries that history prints"},
              {"format", "text", "text or json"}}};
 }
 
@@ -85,6 +87,7 @@
     options.operatorName = settings.text("operator");
     options.token = settings.text("token");
     options.wait = settings.milliseconds("wait-ms", 0, MaxWaitMs);
+    options.limit = settings.number("limit", 1, MaxLimit);
     if (!settings.text("base-version").empty()) {
         options.baseVersion = settings.number("base-version", 0, INT64_MAX);
     }
--- a/src/ctl/ctloptions.h
+++ b/src/ctl/ctloptions.h
@@ -20,6 +20,7 @@
     std::string token;
     std::chrono::milliseconds wait{0}; ///< how long apply waits for the version to be in force
     std::optional<std::uint64_t> baseVersion;
+    std::size_t limit = 100; ///< most audit entries that history prints
     bool json = false;
 };
 
--- a/src/ctl/ctlreport.cpp
+++ b/src/ctl/ctlreport.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/json.hpp>
 #include <cstdio>
-#include <ctime>
 #include <sstream>
 
 namespace bronzeshed {
@@ -17,17 +16,6 @@
     return std::string(object.at(key).as_string());
 }
 
-std::string formatTime(std::int64_t timeMs)
-{
-    const auto seconds = static_cast<std::time_t>(timeMs / 1000);
-    std::tm parts{};
-    ::gmtime_r(&seconds, &parts);
-    std::array<char, 32> buffer{};
-    const std::size_t size
-        = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-    return {buffer.data(), size};
-}
-
 /** Two decimals of a percentage, cut off: a share below its target must not look equal to it. */
 std::string formatShare(std::int64_t part, std::int64_t whole)
 {
@@ -175,21 +163,6 @@
     return text.str() + formatNotCounted(status.as_object());
 }
 
-std::string formatHistory(const json::value &history)
-{
-    std::ostringstream text;
-    for (const json::value &item : history.at("entries").as_array()) {
-        text << formatTime(item.at("time_ms").as_int64()) << "  version "
-             << item.at("from").as_int64() << " -> " << item.at("to").as_int64() << "  "
-             << textOf(item, "operator") << "  " << textOf(item, "action") << "  write id "
-             << textOf(item, "write_id") << "\n";
-    }
-    if (const auto pages = history.at("archived_pages").as_int64(); pages > 0) {
-        text << "older entries: GET /v1/history?page=0 to " << pages - 1 << "\n";
-    }
-    return text.str();
-}
-
 std::string formatReply(const ChangeReply &reply, bool asJson)
 {
     if (!asJson) {
--- a/src/ctl/ctlreport.h
+++ b/src/ctl/ctlreport.h
@@ -27,9 +27,6 @@
 /** Answer of GET /v1/status as text. */
 std::string formatStatus(const boost::json::value &status);
 
-/** Answer of GET /v1/history as text, oldest entry first. */
-std::string formatHistory(const boost::json::value &history);
-
 std::string formatReply(const ChangeReply &reply, bool asJson);
 
 } // namespace bronzeshed
--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -221,6 +221,49 @@
     BOOST_TEST(run.printed("not counted: 2 of 3 instances: i1, i2\n"));
 }
 
+// Guards against archived entries that are missing, doubled or out of order, and against a history
+// that looks complete although a page could not be read.
+BOOST_AUTO_TEST_CASE(history_reads_archived_pages_up_to_the_limit)
+{
+    const auto answer = [](std::initializer_list<int> versions) {
+        std::string entries;
+        for (const int version : versions) {
+            const std::string number = std::to_string(version);
+            entries += (entries.empty() ? "" : ",")
+                + (R"({"time_ms":0,"from":0,"to":)" + number
+                   + R"(,"operator":"o","action":"a","write_id":"w)" + number + R"("})");
+        }
+        return R"({"version":9,"archived_pages":2,"entries":[)" + entries + "]}";
+    };
+    const auto printedIds = [](const Run &run) {
+        std::string ids;
+        const std::string text = run.output.str();
+        for (auto at = text.find("write id w"); at != std::string::npos;
+             at = text.find("write id w", at + 1)) {
+            ids += text[at + 10];
+        }
+        return ids;
+    };
+    Run all("history", "",
+            {{200, answer({5, 6})}, {200, answer({3, 4})}, {200, answer({1, 2, 3})}});
+    BOOST_TEST((all.run() == CtlExit::Done));
+    BOOST_TEST(printedIds(all) == "654321");
+    BOOST_TEST(all.sender.sent.at(1).second.target == "/v1/history?page=1");
+    BOOST_TEST(all.sender.sent.at(2).second.target == "/v1/history?page=0");
+    BOOST_TEST(!all.printed("older"));
+
+    Run some("history", "", {{200, answer({5, 6})}, {200, answer({3, 4})}});
+    some.options.limit = 3;
+    BOOST_TEST((some.run() == CtlExit::Done));
+    BOOST_TEST(printedIds(some) == "654");
+    BOOST_TEST(some.printed("there are older entries"));
+
+    Run broken("history", "", {{200, answer({5, 6})}, {503, "{}"}, {503, "{}"}});
+    BOOST_TEST((broken.run() == CtlExit::Failed));
+    BOOST_TEST(printedIds(broken) == "65");
+    BOOST_TEST(broken.printed("older entries could not be read"));
+}
+
 // Guards against a diff against nothing, and a base version that is not the one compared with.
 BOOST_AUTO_TEST_CASE(apply_uses_the_newest_version_as_base)
 {
