Limit the traffic of watching the status

Cause: with 50 classes the counts of one entry took 3,601 bytes, and a status command repeated every second through one agent would receive that much from each of 40 instances; control traffic is limited to 6 KB/s per node.

Change: counts are sent as an array per class. An agent uses counts again for 1 s, or longer as needed to receive at most 2,500 bytes/s for them; gossip needs 3.3 KB/s with 40 instances (docs/CAPACITY.md). The status says how old the counts are.

Computed, not measured: 40 such instances are asked at most every 28 s.

The time of reuse has no check of its own. The age in the text is checked by ctl-test ctl/status_text_shows_which_targets_hold; no fault was tried on it.

--- a/src/agent/fleetcalls.h
+++ b/src/agent/fleetcalls.h
@@ -3,6 +3,7 @@
 
 #include "metrics/callcounts.h"
 
+#include <chrono>
 #include <cstddef>
 #include <vector>
 
@@ -13,6 +14,7 @@
 {
     CallCountsByClass classes;
     std::size_t instances = 0; ///< instances that are not dead
+    std::chrono::milliseconds age{0}; ///< since the instances were asked
     std::vector<InstanceId> notCounted; ///< those of them that did not answer in time
 };
 
--- a/src/agent/fleetcallsreader.h
+++ b/src/agent/fleetcallsreader.h
@@ -9,7 +9,10 @@
 
 namespace bronzeshed {
 
-/** Asks the entries of all members that are not dead for their counts, one request to each. */
+/**
+ * Asks the entries of all members that are not dead for their counts, one request to each. Counts
+ * are used again for a while, so that watching the status keeps the traffic within its limit.
+ */
 class FleetCallsReader : public FleetCallsSource
 {
 public:
@@ -24,6 +27,7 @@
     SystemClock clock;
     std::optional<FleetCalls> newest;
     TimePoint readAt;
+    Duration reuseTime = Duration::zero(); ///< of the newest counts
 };
 
 } // namespace bronzeshed
--- a/src/agent/operatorreplies.cpp
+++ b/src/agent/operatorreplies.cpp
@@ -177,6 +177,7 @@
         for (const InstanceId &id : calls->notCounted) {
             missing.emplace_back(id.value());
         }
+        body["counted_ms_ago"] = calls->age.count();
         body["asked_instances"] = static_cast<std::int64_t>(calls->instances);
         body["not_counted"] = std::move(missing);
     }
--- a/src/ctl/ctlreport.cpp
+++ b/src/ctl/ctlreport.cpp
@@ -34,7 +34,7 @@
         return "  not reported: the agent is of an older version";
     }
     const std::int64_t calls = found->at("calls").as_int64();
-    const std::string state = "  " + textOf(*found, "state");
+    std::string state = "  " + textOf(*found, "state");
     if (calls == 0) {
         return state;
     }
@@ -54,7 +54,8 @@
     for (const json::value &id : ids) {
         text += (&id == &ids.front() ? ": " : ", ") + std::string(id.as_string());
     }
-    return text + "\n";
+    const std::int64_t seconds = status.at("counted_ms_ago").as_int64() / 1000;
+    return text + "; counted " + std::to_string(seconds) + " s ago\n";
 }
 
 const char *outcomeName(ChangeReply::Outcome outcome)
--- a/src/metrics/callcounts.cpp
+++ b/src/metrics/callcounts.cpp
@@ -21,10 +21,8 @@
 {
     json::object root;
     for (const auto &[name, count] : counts) {
-        root[name.value()] = {{"within_target", count.withinTarget},
-                              {"late", count.late},
-                              {"not_run", count.notRun},
-                              {"unknown", count.unknown}};
+        root[name.value()]
+            = json::array{count.withinTarget, count.late, count.notRun, count.unknown};
     }
     return json::serialize(root);
 }
@@ -35,10 +33,9 @@
         CallCountsByClass counts;
         const json::value root = json::parse(json::string_view(text.data(), text.size()));
         for (const auto &[name, item] : root.as_object()) {
-            counts[ClassName(name)] = {item.at("within_target").to_number<std::uint64_t>(),
-                                       item.at("late").to_number<std::uint64_t>(),
-                                       item.at("not_run").to_number<std::uint64_t>(),
-                                       item.at("unknown").to_number<std::uint64_t>()};
+            counts[ClassName(name)]
+                = {item.at(0).to_number<std::uint64_t>(), item.at(1).to_number<std::uint64_t>(),
+                   item.at(2).to_number<std::uint64_t>(), item.at(3).to_number<std::uint64_t>()};
         }
         return counts;
     } catch (const std::exception &error) {
--- a/src/metrics/callcounts.h
+++ b/src/metrics/callcounts.h
@@ -31,7 +31,10 @@
 
 using CallCountsByClass = std::map<ClassName, CallCounts>;
 
-/** Writes the counts as a JSON object with one member a class. */
+/**
+ * Writes the counts as JSON, for each class its name and an array of the counts in the order of
+ * CallCounts. Names of counts would double the traffic between instances.
+ */
 std::string serializeCallCounts(const CallCountsByClass &counts);
 
 /** @throws Error if the text is not of that form */
