Let an entry whose clock was stepped back take a higher incarnation

Cause: an entry that restarted with an earlier wall clock got a lower incarnation than its former process. All other members took its record for an old one; the agent only logged incarnation_behind. Ruled out: a new message for the highest incarnation, since the control state already carries the member records; an order of incarnations that ignores the clock, since tickets derive their period from the start time in the incarnation. Change: the agent does not publish a lower incarnation and keeps the former record, also one that it learns from a peer later. The entry sees it in its control state, takes the millisecond after it with new random bits, starts a new ledger and reports again. It takes no request before the agent has published its incarnation, and its lookups never name a former process at its address. Its first period lasts until the wall clock reaches the start time, as tickets name period 0 until then. Before: the entry stayed hidden from its peers until they forgot the former record.

--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -86,13 +86,16 @@
     member.configVersion = status.configVersionInForce;
     member.state = status.leaving ? MemberState::Leaving : MemberState::Alive;
     const auto known = this->table.find(member.id);
-    const auto &self = this->table.self();
-    const bool isNew = !self || self->incarnation != member.incarnation;
-    if (isNew && known && known->incarnation > member.incarnation) {
-        LogLine("incarnation_behind", LogLevel::Warning)
-            .add("known", known->incarnation.value())
-            .add("reported", member.incarnation.value())
-            .add("remedy", "set the clock of this instance and restart its entry");
+    if (known && known->incarnation > member.incarnation) {
+        // Published, it would be taken for an old record. The entry sees the known one in its
+        // control state and takes a higher incarnation.
+        if (member.incarnation != this->refused) {
+            LogLine("incarnation_behind", LogLevel::Warning)
+                .add("known", known->incarnation.value())
+                .add("reported", member.incarnation.value());
+        }
+        this->refused = member.incarnation;
+        return;
     }
     this->table.setSelf(member);
     this->handleChanges(true);
--- a/src/agent/agentstate.h
+++ b/src/agent/agentstate.h
@@ -101,6 +101,7 @@
     Wakeup &newsWakeup;
     Endpoint agentEndpoint;
     EntryWatch entry;
+    Incarnation refused; ///< last one that was lower than a former one
     MembershipTable table;
     Freshness freshness;
     ConfigRecord newest;
--- a/src/entry/controlinbox.cpp
+++ b/src/entry/controlinbox.cpp
@@ -50,6 +50,12 @@
     this->reported.leaving = true;
 }
 
+void ControlInbox::setIncarnation(Incarnation incarnation)
+{
+    const std::lock_guard lock(this->mutex);
+    this->reported.incarnation = incarnation;
+}
+
 void ControlInbox::setConfigVersionInForce(ConfigVersion version)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/entry/controlinbox.h
+++ b/src/entry/controlinbox.h
@@ -27,6 +27,7 @@
     /** When the state was last confirmed. */
     TimePoint confirmedAt();
     void setLeaving();
+    void setIncarnation(Incarnation incarnation);
     void setConfigVersionInForce(ConfigVersion version);
 
 private:
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -22,6 +22,7 @@
     , random(makeSystemRandom())
     , dispatcher(this->clock, this->random, this->timers, *this,
                  std::make_unique<QueueAheadPolicy>(), options.dispatcher)
+    , incarnation(options.incarnation, ports.control.status().callerEndpoint)
     , ledger(this->clock, this->timers, options.incarnation, options.ledger, ports.peers)
     , metrics(ports.metrics, this->clock, options.dispatcher.region)
 {
@@ -86,6 +87,7 @@
     if (!newer) {
         return;
     }
+    this->updateIncarnation(newer->members);
     try {
         if (!newer->declarationText.empty()) {
             this->declaration = parseDeclaration(newer->declarationText);
@@ -107,8 +109,27 @@
     this->dispatcher.update(this->declaration, this->state.upstreams);
 }
 
+void DecisionLoop::updateIncarnation(std::vector<Member> &members)
+{
+    const Incarnation before = this->incarnation.value();
+    if (!this->incarnation.update(members, this->random)) {
+        return;
+    }
+    const Incarnation chosen = this->incarnation.value();
+    const std::int64_t ahead = std::max<std::int64_t>(0, startOf(chosen) - wallClockMs());
+    LogLine("incarnation_raised", LogLevel::Warning)
+        .add("from", before.value())
+        .add("to", chosen.value())
+        .add("ahead_ms", ahead);
+    this->ledger.restart(chosen, std::chrono::milliseconds(ahead));
+    this->ports.control.setIncarnation(chosen);
+}
+
 bool DecisionLoop::isFresh() const
 {
+    if (!this->incarnation.isPublished()) {
+        return false;
+    }
     return this->clock.now() - this->ports.control.confirmedAt() <= this->options.freshness;
 }
 
--- a/src/entry/decisionloop.h
+++ b/src/entry/decisionloop.h
@@ -7,6 +7,7 @@
 #include "entry/callparser.h"
 #include "entry/controlinbox.h"
 #include "entry/ledgercoordinator.h"
+#include "entry/ownincarnation.h"
 #include "entry/upstreamport.h"
 #include "routing/dispatcher.h"
 
@@ -20,7 +21,7 @@
 {
     DispatcherOptions dispatcher;
     LedgerLimits ledger;
-    Incarnation incarnation; ///< of this process
+    Incarnation incarnation; ///< of this process, unless a former one had a higher one
     Duration freshness = ControlFreshness; ///< age of control state that stops new work
 };
 
@@ -78,6 +79,7 @@
     bool startProbe(const ProbeOrder &order) override;
 
     void takeControlState();
+    void updateIncarnation(std::vector<Member> &members);
     void handleCaller(CallerEvent event);
     void handleLookup(const CallerEvent &event);
     void handleCall(CallerEvent event);
@@ -99,6 +101,7 @@
     SeededRandom random;
     TimerService timers;
     Dispatcher dispatcher;
+    OwnIncarnation incarnation;
     LedgerCoordinator ledger;
     CallMetrics metrics;
     Declaration declaration;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -15,12 +15,10 @@
 /** Longer than the longest deadline that a call may have. */
 constexpr std::chrono::minutes InFlightLimit{11};
 
-/** A number that is higher for a later start of the same instance. */
-Incarnation makeIncarnation()
+Incarnation firstIncarnation()
 {
     SeededRandom random = makeSystemRandom();
-    return Incarnation((static_cast<std::uint64_t>(wallClockMs()) << IncarnationRandomBits)
-                       | random.below(1U << IncarnationRandomBits));
+    return makeIncarnation(wallClockMs(), random);
 }
 
 } // namespace
@@ -39,7 +37,7 @@
     , ledgerServer(given.ledger, questionRing)
     , ledgerClient(resultRing)
     , upstreams(ConnectionPoolLimits{}, attemptRing, probeRing)
-    , incarnation(makeIncarnation())
+    , incarnation(firstIncarnation())
     , control(this->initialStatus(incarnation), wakeup)
     , decisions(this->decisionOptions(incarnation),
                 {wakeup, callerRing, departureRing, attemptRing, questionRing, resultRing, control,
--- a/src/entry/ledgercoordinator.cpp
+++ b/src/entry/ledgercoordinator.cpp
@@ -54,17 +54,23 @@
     : clock(clock)
     , timers(timers)
     , peers(peers)
-    , ledger(clock, own, limits)
+    , limits(limits)
+    , ledger(std::make_unique<RequestLedger>(clock, own, limits))
 {
 }
 
+void LedgerCoordinator::restart(Incarnation own, Duration startsIn)
+{
+    this->ledger = std::make_unique<RequestLedger>(this->clock, own, this->limits, startsIn);
+}
+
 bool LedgerCoordinator::admit(const IdentifiedCall &call, const std::vector<Member> &members)
 {
-    if (call.identity.incarnation != this->ledger.incarnation()) {
+    if (call.identity.incarnation != this->ledger->incarnation()) {
         this->askOwner(call, members);
         return false;
     }
-    const LedgerDecision decision = this->ledger.begin(call.identity, call.digest, call.id);
+    const LedgerDecision decision = this->ledger->begin(call.identity, call.digest, call.id);
     switch (decision.action) {
     case LedgerAction::Run:
         return true;
@@ -117,7 +123,7 @@
 {
     const AnswerPointer answer = outcome == Outcome::Answered ? toRecord(response) : nullptr;
     const RecordedOutcome recorded{outcome, reason, answer};
-    for (const CallId repeat : this->ledger.complete(identity, recorded)) {
+    for (const CallId repeat : this->ledger->complete(identity, recorded)) {
         this->answerWaiting(repeat, recorded);
     }
 }
@@ -128,7 +134,7 @@
     if (!identity) {
         return {ResolutionKind::Invalid, {Outcome::Invalid, Reason::MalformedIdentity, nullptr}};
     }
-    return this->ledger.resolve(*identity, question.digest);
+    return this->ledger->resolve(*identity, question.digest);
 }
 
 void LedgerCoordinator::takeResult(const LedgerResult &result)
@@ -144,7 +150,8 @@
 {
     std::array<char, 17> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(nonce));
-    return RequestIdentity{this->ledger.incarnation(), this->ledger.currentPeriod(), digits.data()}
+    return RequestIdentity{this->ledger->incarnation(), this->ledger->currentPeriod(),
+                           digits.data()}
         .toId();
 }
 
--- a/src/entry/ledgercoordinator.h
+++ b/src/entry/ledgercoordinator.h
@@ -40,6 +40,12 @@
      */
     bool admit(const IdentifiedCall &call, const std::vector<Member> &members);
 
+    /**
+     * Goes on under another incarnation, whose first period begins after @p startsIn. What was
+     * recorded is dropped: its ids belong to the former incarnation and never run again.
+     */
+    void restart(Incarnation own, Duration startsIn);
+
     /** Records the outcome of a call that was to run and answers its repeats. */
     void complete(const RequestIdentity &identity, Outcome outcome, Reason reason,
                   const HttpResponse &response);
@@ -70,7 +76,8 @@
     const Clock &clock;
     TimerService &timers;
     LedgerPeers &peers;
-    RequestLedger ledger;
+    LedgerLimits limits;
+    std::unique_ptr<RequestLedger> ledger;
     std::unordered_map<CallId, WaitingCall> waiting;
 };
 
--- a/src/membership/membershiptable.cpp
+++ b/src/membership/membershiptable.cpp
@@ -92,6 +92,13 @@
 
 void MembershipTable::refute(const Member &record)
 {
+    const bool sameAddress = record.callerEndpoint == this->own->callerEndpoint;
+    if (sameAddress && record.incarnation > this->own->incarnation) {
+        // Of a former process that started with a later wall clock. The own member must get a
+        // higher incarnation, or else all other tables keep this record.
+        this->mergeOne(record);
+        return;
+    }
     if (record.incarnation != this->own->incarnation || !takesPrecedence(record, *this->own)) {
         return;
     }
--- a/src/membership/membershiptable.h
+++ b/src/membership/membershiptable.h
@@ -63,7 +63,10 @@
     void setSelf(Member member);
     const std::optional<Member> &self() const { return this->own; }
 
-    /** Takes over all records that take precedence, and refutes wrong records of the own member. */
+    /**
+     * Takes over all records that take precedence, and refutes wrong records of the own member. Of
+     * the own member it takes over only the record of a former process with a higher incarnation.
+     */
     void merge(const std::vector<Member> &records);
 
     /**
--- a/src/requests/periodclock.cpp
+++ b/src/requests/periodclock.cpp
@@ -10,7 +10,8 @@
 
 std::uint64_t PeriodClock::current() const
 {
-    return static_cast<std::uint64_t>((this->clock.now() - this->start) / Length);
+    const TimePoint now = this->clock.now();
+    return now < this->start ? 0 : static_cast<std::uint64_t>((now - this->start) / Length);
 }
 
 PeriodCheck PeriodClock::check(std::uint64_t period) const
--- a/src/requests/periodclock.h
+++ b/src/requests/periodclock.h
@@ -22,6 +22,10 @@
     static constexpr std::uint64_t MaxAhead = 1;
     static constexpr std::uint64_t MaxAge = 10;
 
+    /**
+     * @param start lies in the future if the incarnation states a later time than the wall clock;
+     * tickets name period 0 until then
+     */
     PeriodClock(const Clock &clock, TimePoint start);
 
     std::uint64_t current() const;
--- a/src/requests/requestledger.cpp
+++ b/src/requests/requestledger.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-RequestLedger::RequestLedger(const Clock &clock, Incarnation own, const LedgerLimits &limits)
-    : periods(clock, clock.now())
+RequestLedger::RequestLedger(const Clock &clock, Incarnation own, const LedgerLimits &limits,
+                             Duration startsIn)
+    : periods(clock, clock.now() + startsIn)
     , own(own)
     , limits(limits)
 {
@@ -53,6 +54,10 @@
 std::vector<CallId> RequestLedger::complete(const RequestIdentity &identity,
                                             RecordedOutcome outcome)
 {
+    if (identity.incarnation != this->own) {
+        // It was taken under a former incarnation of this process.
+        return {};
+    }
     Record *record = this->find(identity);
     if (record == nullptr || !record->running) {
         return {};
--- a/src/requests/requestledger.h
+++ b/src/requests/requestledger.h
@@ -41,7 +41,9 @@
 class RequestLedger
 {
 public:
-    RequestLedger(const Clock &clock, Incarnation own, const LedgerLimits &limits);
+    /** @param startsIn when the first period begins, see PeriodClock */
+    RequestLedger(const Clock &clock, Incarnation own, const LedgerLimits &limits,
+                  Duration startsIn = Duration::zero());
 
     /**
      * Takes a request or a repeat.
--- a/tests/entry/ledgercoordinatortest.cpp
+++ b/tests/entry/ledgercoordinatortest.cpp
@@ -149,4 +149,18 @@
     BOOST_CHECK(this->coordinator.resolve(malformed).kind == ResolutionKind::Invalid);
 }
 
+// Guards P4: after a change of the incarnation, a repeat of an earlier id that runs, or the late
+// end of an earlier call that counts as the outcome of a new call with the same period and nonce.
+BOOST_AUTO_TEST_CASE(a_restart_keeps_earlier_ids_apart)
+{
+    BOOST_TEST(this->admit(Own, 'a'));
+    this->coordinator.restart(Other, Duration::zero());
+    BOOST_TEST(!this->admit(Own, 'a'));
+    BOOST_TEST(this->told(1) == "unknown/owner-unreachable");
+    BOOST_TEST(this->admit(Other, 'a'));
+    this->coordinator.complete(identity(Own, 'a'), Outcome::Answered, Reason::None, {});
+    BOOST_TEST(!this->admit(Other, 'a'));
+    BOOST_TEST(this->told(3) == "0 responses");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
