Let leave marks of removed upstreams lapse after 24 h

Cause: a leave mark was never removed from an agent's memory. The record was pruned only beyond 2,000 marks, whatever their age, and the next merge with an agent's marks brought them back. Ruled out: dropping a mark at once when the list no longer shows its upstream, since a peer that was cut off could bring back an older mark; a floor kept in the record, since a mark made on the other side of a partition could fall below it and be lost. Change: the counter of a new mark is the wall-clock time in milliseconds, or one more than the known counter. A mark older than 24 h whose upstream is not listed is dropped by each agent, left out of new records and ignored when offered. An agent that knows 2,000 marks refuses further upstreams and names the remedy. The test of pruning beyond 2,000 marks is replaced, as that rule is gone: the new one checks that fresh marks and marks of listed upstreams stay, that old ones go and that an empty list removes nothing. Tests of config and agent pass. Each check was seen to fail: without the drop, without the check of offered marks, with listed upstreams dropped as well, and without the limit.

--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -164,8 +164,11 @@
 
 bool AgentState::mergeMarksLocked(const LeaveMarks &marks, bool forward)
 {
+    LeaveMarks offered = marks;
+    // A mark that was dropped here must not come back from a peer that drops it later.
+    dropLapsedMarks(offered, this->listed, wallClockMs());
     LeaveMarks newer;
-    for (const auto &[upstream, mark] : marks) {
+    for (const auto &[upstream, mark] : offered) {
         const auto known = this->newest.leaveMarks.find(upstream);
         if (known == this->newest.leaveMarks.end() || supersedes(mark, known->second)) {
             newer[upstream] = mark;
@@ -186,9 +189,22 @@
     return true;
 }
 
+/** The entry needs no new state for it: it does not know the upstreams of these marks. */
+void AgentState::dropMarks()
+{
+    const std::size_t count = dropLapsedMarks(this->newest.leaveMarks, this->listed, wallClockMs());
+    if (count > 0) {
+        LogLine("leave_marks_lapsed").add("count", count);
+    }
+}
+
 void AgentState::adoptInstances(const InstanceSnapshot &snapshot)
 {
     const std::lock_guard lock(this->mutex);
+    this->listed.clear();
+    for (const UpstreamInfo &upstream : snapshot.upstreams) {
+        this->listed.insert(upstream.id);
+    }
     if (!this->instances || this->instances->upstreams != snapshot.upstreams) {
         ++this->sequence;
     }
@@ -272,6 +288,7 @@
     }
     this->table.tick();
     this->handleChanges(false);
+    this->dropMarks();
     this->updateAlone();
     this->wakeForNews();
 }
--- a/src/agent/agentstate.h
+++ b/src/agent/agentstate.h
@@ -13,6 +13,7 @@
 
 #include <mutex>
 #include <optional>
+#include <set>
 
 namespace bronzeshed {
 
@@ -88,6 +89,7 @@
     std::vector<Member> otherMembers() const;
     void publishSelf(const EntryStatus &status);
     void publishOwnDeath(const char *reason);
+    void dropMarks();
     bool mergeMarksLocked(const LeaveMarks &marks, bool forward);
     void adoptLocked(const ConfigRecord &record, bool forward);
     /** Logs changes of the table, and queues them for peers if @p forward. */
@@ -107,6 +109,7 @@
     ConfigRecord newest;
     std::string newestText; ///< JSON of newest, made once for each version
     std::optional<InstanceSnapshot> instances;
+    std::set<UpstreamId> listed; ///< upstreams of instances
     PendingNews news;
     std::uint64_t sequence = 1;
 };
--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -85,7 +85,15 @@
     if (this->pending.size() >= MaxPendingMarks) {
         return ChangeRefused{"too many leave marks wait for the store; repeat when it answers"};
     }
-    const std::uint64_t counter = mark == known.end() ? 1 : mark->second.counter + 1;
+    if (mark == known.end() && known.size() >= ConfigHistory::MaxLeaveMarks) {
+        return ChangeRefused{"there are already " + std::to_string(known.size())
+                             + " leave marks; repeat when marks of removed upstreams have lapsed, "
+                             + std::to_string(LeaveMarkLifetime.count())
+                             + " h after they were made"};
+    }
+    const auto now = static_cast<std::uint64_t>(this->clock());
+    const std::uint64_t counter
+        = mark == known.end() ? now : std::max(now, mark->second.counter + 1);
     const std::string action = (leaving ? "leave " : "return ") + upstream.value();
     PendingMark next{{{upstream, {counter, leaving}}},
                      this->makeChange(operatorName, action, writeId)};
@@ -209,7 +217,7 @@
     for (const UpstreamInfo &upstream : this->agent.upstreams()) {
         listed.insert(upstream.id);
     }
-    ConfigHistory::pruneLeaveMarks(record, listed);
+    dropLapsedMarks(record.leaveMarks, listed, this->clock());
     this->archive(record);
     ConfigHistory::checkSize(record);
 }
--- a/src/config/confighistory.cpp
+++ b/src/config/confighistory.cpp
@@ -122,14 +122,6 @@
     record.archivedPages = page.number + 1;
 }
 
-void ConfigHistory::pruneLeaveMarks(ConfigRecord &record, const std::set<UpstreamId> &listed)
-{
-    if (record.leaveMarks.size() > MaxLeaveMarks && !listed.empty()) {
-        std::erase_if(record.leaveMarks,
-                      [&](const auto &mark) { return !listed.contains(mark.first); });
-    }
-}
-
 void ConfigHistory::checkSize(const ConfigRecord &record)
 {
     const std::size_t size = serializeConfigRecord(record).size();
--- a/src/config/confighistory.h
+++ b/src/config/confighistory.h
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -44,7 +43,10 @@
     /** Keeps 1,000 audit entries well below the limit of the record. */
     static constexpr std::size_t MaxActionBytes = 160;
     static constexpr std::size_t MaxWriteIdBytes = 64;
-    /** Several times the upstreams of the target size, and still a small part of the record. */
+    /**
+     * Marks of further upstreams are refused. Several times the upstreams of the target size, and
+     * still a small part of the record.
+     */
     static constexpr std::size_t MaxLeaveMarks = 2000;
 
     /** Whether a record of version @p offered replaces one of version @p known. */
@@ -88,12 +90,6 @@
     /** Removes the entries of a page that has been written. */
     static void trim(ConfigRecord &record, const AuditPage &page);
 
-    /**
-     * Removes marks of upstreams that are not @p listed if there are more than MaxLeaveMarks, since
-     * replaced upstreams would otherwise fill the record in time. An empty list removes nothing.
-     */
-    static void pruneLeaveMarks(ConfigRecord &record, const std::set<UpstreamId> &listed);
-
     /** @throws Error naming the remedy if the record does not fit into one value of the store */
     static void checkSize(const ConfigRecord &record);
 
--- a/src/config/configrecord.cpp
+++ b/src/config/configrecord.cpp
@@ -100,6 +100,19 @@
     return changed;
 }
 
+std::size_t dropLapsedMarks(LeaveMarks &marks, const std::set<UpstreamId> &listed,
+                            std::int64_t nowMs)
+{
+    constexpr std::int64_t LifetimeMs = std::chrono::milliseconds(LeaveMarkLifetime).count();
+    if (listed.empty()) {
+        return 0;
+    }
+    return std::erase_if(marks, [&](const auto &item) {
+        const auto madeMs = static_cast<std::int64_t>(item.second.counter);
+        return nowMs - madeMs >= LifetimeMs && !listed.contains(item.first);
+    });
+}
+
 std::string serializeAuditEntries(const std::vector<AuditEntry> &entries)
 {
     return json::serialize(writeAuditEntries(entries));
--- a/src/config/configrecord.h
+++ b/src/config/configrecord.h
@@ -4,8 +4,11 @@
 #include "base/strongid.h"
 #include "base/strongnumber.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +17,7 @@
 /** Whether an upstream is marked as leaving. The mark with the higher counter wins. */
 struct LeaveMark
 {
+    /** Wall-clock time of the command in milliseconds since 1970, or one more than the former. */
     std::uint64_t counter = 0;
     bool leaving = false;
 
@@ -34,6 +38,20 @@
  */
 bool mergeLeaveMarks(LeaveMarks &target, const LeaveMarks &source);
 
+/**
+ * Marks of upstreams that the instance list no longer shows lapse at this age. An agent that was
+ * cut off for a shorter time cannot bring back a mark that was replaced: the newer one is kept for
+ * as long.
+ */
+constexpr std::chrono::hours LeaveMarkLifetime{24};
+
+/**
+ * Removes the marks that have lapsed. An empty list removes nothing, since it may be incomplete.
+ * @return how many were removed
+ */
+std::size_t dropLapsedMarks(LeaveMarks &marks, const std::set<UpstreamId> &listed,
+                            std::int64_t nowMs);
+
 /** One line of the audit trail. */
 struct AuditEntry
 {
--- a/tests/agent/configkeepertest.cpp
+++ b/tests/agent/configkeepertest.cpp
@@ -127,6 +127,20 @@
     }
 }
 
+// Guards against marks that fill the record until no change is accepted at all.
+BOOST_AUTO_TEST_CASE(marks_beyond_the_limit_are_refused_with_a_remedy)
+{
+    KeeperWorld world(1);
+    expectResult<ChangeAccepted>(world.leave(0, 1, true));
+    LeaveMarks &marks = world.agents[0]->newest.leaveMarks;
+    while (marks.size() < ConfigHistory::MaxLeaveMarks) {
+        marks[UpstreamId("old-" + std::to_string(marks.size()))] = {1, true};
+    }
+    const std::string error = expectResult<ChangeRefused>(world.leave(0, 2, true)).error;
+    BOOST_TEST(error.find("repeat when marks of removed upstreams have lapsed") < error.size());
+    expectResult<ChangeAccepted>(world.leave(0, 1, false));
+}
+
 // Guards against entries trimmed from the record although their page was not written.
 BOOST_AUTO_TEST_CASE(page_is_written_before_entries_are_trimmed)
 {
--- a/tests/agent/statetest.cpp
+++ b/tests/agent/statetest.cpp
@@ -275,4 +275,29 @@
                == 1U);
 }
 
+// Guards against marks of replaced upstreams that pile up in memory, and against one that comes
+// back from a peer that still holds it.
+BOOST_AUTO_TEST_CASE(lapsed_marks_go_and_do_not_come_back)
+{
+    const auto old = static_cast<std::uint64_t>(
+        wallClockMs() - std::chrono::milliseconds(LeaveMarkLifetime).count());
+    UpstreamInfo listed;
+    listed.id = UpstreamId("listed");
+    const LeaveMarks kept{{listed.id, {old, true}}, {UpstreamId("new"), {old + 60000, true}}};
+    LeaveMarks marks = kept;
+    marks[UpstreamId("old")] = {old, true};
+    this->agent(0).state.mergeMarks(marks);
+    this->cluster.settle();
+    BOOST_TEST((this->agent(1).state.record().leaveMarks == marks));
+    for (const unsigned index : {1U, 2U}) {
+        this->agent(index).state.adoptInstances({1, {listed}, {}});
+    }
+    this->cluster.settle();
+    BOOST_TEST((this->agent(0).state.record().leaveMarks == marks));
+    BOOST_TEST((this->agent(1).state.record().leaveMarks == kept));
+    this->agent(0).state.adoptInstances({1, {listed}, {}});
+    this->cluster.settle();
+    BOOST_TEST((this->agent(0).state.record().leaveMarks == kept));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/config/confighistorytest.cpp
+++ b/tests/config/confighistorytest.cpp
@@ -117,21 +117,21 @@
     BOOST_CHECK_THROW(ConfigHistory::checkSize(record), Error);
 }
 
-// Guards against marks of replaced upstreams that fill the record until no change is accepted.
-BOOST_AUTO_TEST_CASE(marks_of_unlisted_upstreams_are_pruned_beyond_the_limit)
+// Guards against marks of replaced upstreams that fill the record until no change is accepted, and
+// against the loss of a mark that is still needed.
+BOOST_AUTO_TEST_CASE(marks_of_unlisted_upstreams_lapse)
 {
-    ConfigRecord record;
-    for (std::size_t i = 0; i < ConfigHistory::MaxLeaveMarks; ++i) {
-        record.leaveMarks[UpstreamId("old-" + std::to_string(i))] = {1, true};
-    }
+    constexpr std::int64_t Now = 1'800'000'000'000;
+    constexpr std::uint64_t Old = Now - std::chrono::milliseconds(LeaveMarkLifetime).count();
     const UpstreamId listed(std::string("almanac-0"));
-    ConfigHistory::pruneLeaveMarks(record, {listed});
-    BOOST_TEST(record.leaveMarks.size() == ConfigHistory::MaxLeaveMarks);
-    record.leaveMarks[listed] = {1, true};
-    ConfigHistory::pruneLeaveMarks(record, {});
-    BOOST_TEST(record.leaveMarks.size() == ConfigHistory::MaxLeaveMarks + 1);
-    ConfigHistory::pruneLeaveMarks(record, {listed});
-    BOOST_TEST((record.leaveMarks == LeaveMarks{{listed, {1, true}}}));
+    const LeaveMarks kept{{listed, {Old, true}}, {UpstreamId("new"), {Old + 1, false}}};
+    LeaveMarks marks = kept;
+    marks[UpstreamId("old")] = {Old, true};
+    marks[UpstreamId("returned")] = {Old, false};
+    BOOST_TEST(dropLapsedMarks(marks, {}, Now) == 0U);
+    BOOST_TEST(marks.size() == 4U);
+    BOOST_TEST(dropLapsedMarks(marks, {listed}, Now) == 2U);
+    BOOST_TEST((marks == kept));
 }
 
 // Guards against losing changes that were accepted on a store that had fallen back.
