Report a leaving entry to its agent at once

Cause: an entry reports its status only with the next watchState call, so its leaving could wait up to 1 s for the answer to the call before. Change: a changed leaving flag or incarnation wakes the link to the agent, which ends its call and reports in a new one. The wait for a Wakeup in the RPC event loop is a class of its own, which LedgerClient and LedgerServer now use instead of their two copies of that loop. Conclusion: the 1 s is gone from the time in which lookups still name a leaving entry.

--- a/src/entry/controlinbox.cpp
+++ b/src/entry/controlinbox.cpp
@@ -4,8 +4,9 @@
 
 namespace bronzeshed {
 
-ControlInbox::ControlInbox(EntryStatus initialStatus, Wakeup &wakeup)
+ControlInbox::ControlInbox(EntryStatus initialStatus, Wakeup &wakeup, Wakeup &statusChanged)
     : wakeup(wakeup)
+    , statusChanged(statusChanged)
     , reported(std::move(initialStatus))
 {
 }
@@ -46,14 +47,20 @@
 
 void ControlInbox::setLeaving()
 {
-    const std::lock_guard lock(this->mutex);
-    this->reported.leaving = true;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->reported.leaving = true;
+    }
+    this->statusChanged.notify();
 }
 
 void ControlInbox::setIncarnation(Incarnation incarnation)
 {
-    const std::lock_guard lock(this->mutex);
-    this->reported.incarnation = incarnation;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->reported.incarnation = incarnation;
+    }
+    this->statusChanged.notify();
 }
 
 void ControlInbox::setConfigVersionInForce(ConfigVersion version)
--- a/src/entry/controlinbox.h
+++ b/src/entry/controlinbox.h
@@ -16,7 +16,11 @@
 class ControlInbox : public ControlStateSink
 {
 public:
-    ControlInbox(EntryStatus initialStatus, Wakeup &wakeup);
+    /**
+     * @param wakeup notified when there is a new state
+     * @param statusChanged notified when the status is to be reported at once
+     */
+    ControlInbox(EntryStatus initialStatus, Wakeup &wakeup, Wakeup &statusChanged);
 
     void stateChanged(ControlState state, TimePoint confirmedAt) override;
     void stateConfirmed(TimePoint confirmedAt) override;
@@ -33,6 +37,7 @@
 private:
     std::mutex mutex;
     Wakeup &wakeup;
+    Wakeup &statusChanged;
     EntryStatus reported;
     std::optional<ControlState> newest;
     TimePoint lastConfirmed;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -38,12 +38,12 @@
     , ledgerClient(resultRing)
     , upstreams(ConnectionPoolLimits{}, attemptRing, probeRing)
     , incarnation(firstIncarnation())
-    , control(this->initialStatus(incarnation), wakeup)
+    , control(this->initialStatus(incarnation), wakeup, statusChanged)
     , decisions(this->decisionOptions(incarnation),
                 {wakeup, callerRing, departureRing, attemptRing, questionRing, resultRing, control,
                  upstreams, ledgerServer, ledgerClient, probeRing, metrics})
     , decisionThread([this] { this->decisions.run(); })
-    , link(std::make_unique<AgentLink>(given.agent, control))
+    , link(std::make_unique<AgentLink>(given.agent, control, statusChanged))
     , adminPort(*this)
     , admin(std::make_unique<HttpServer>(given.admin, HttpLimits{}, adminPort))
 {
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -56,6 +56,7 @@
 
     EntryOptions options;
     Wakeup wakeup;
+    Wakeup statusChanged; ///< wakes the link to the agent
     EventRing<CallerEvent> callerRing;
     EventRing<CallId> departureRing;
     EventRing<AttemptEvent> attemptRing;
--- a/src/rpc/agentlink.cpp
+++ b/src/rpc/agentlink.cpp
@@ -2,9 +2,11 @@
 
 #include "base/logline.h"
 #include "rpc/conversion.h"
+#include "rpc/wakeupstream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
+#include <optional>
 
 namespace bronzeshed {
 
@@ -13,6 +15,8 @@
 constexpr auto CallTimeout = 3 * kj::SECONDS;
 constexpr auto ReconnectDelay = 200 * kj::MILLISECONDS;
 
+using WatchResponse = capnp::Response<rpc::Agent::WatchStateResults>;
+
 void writeStatus(rpc::EntryReport::Builder report, const EntryStatus &status)
 {
     report.setIncarnation(status.incarnation.value());
@@ -24,9 +28,10 @@
 
 } // namespace
 
-AgentLink::AgentLink(const Endpoint &agent, ControlStateSink &sink)
+AgentLink::AgentLink(const Endpoint &agent, ControlStateSink &sink, Wakeup &statusChanged)
     : agent(agent)
     , sink(sink)
+    , statusChanged(statusChanged)
     , thread([this] { this->run(); })
 {
 }
@@ -39,6 +44,7 @@
 void AgentLink::stop()
 {
     this->stopping.store(true);
+    this->statusChanged.notify();
     if (this->thread.joinable()) {
         this->thread.join();
     }
@@ -75,14 +81,26 @@
     auto service = client.bootstrap().castAs<rpc::Agent>();
     // A new connection may lead to a new agent whose sequence numbers mean other states.
     std::uint64_t knownSequence = 0;
+    WakeupStream changes(io, this->statusChanged);
     while (!this->stopping.load()) {
+        changes.clear();
         auto request = service.watchStateRequest();
         request.setKnownSequence(knownSequence);
         writeStatus(request.initReport(), this->sink.status());
         // Counted from before the call: this process may be paused until it reads the answer.
         const TimePoint asked = std::chrono::steady_clock::now();
-        auto response = timer.timeoutAfter(CallTimeout, request.send()).wait(io.waitScope);
-        const auto message = response.getState();
+        // A changed status ends the call, so that the next one reports it at once.
+        auto response
+            = timer.timeoutAfter(CallTimeout, request.send())
+                  .then([](WatchResponse &&given) {
+                      return std::optional<WatchResponse>(kj::mv(given));
+                  })
+                  .exclusiveJoin(changes.wait().then([] { return std::optional<WatchResponse>(); }))
+                  .wait(io.waitScope);
+        if (!response) {
+            continue;
+        }
+        const auto message = response->getState();
         const TimePoint confirmedAt
             = asked - std::chrono::milliseconds(message.getConfirmedAgeMs());
         if (message.getChanged()) {
--- a/src/rpc/agentlink.h
+++ b/src/rpc/agentlink.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESHED_RPC_AGENTLINK_H
 #define BRONZESHED_RPC_AGENTLINK_H
 
+#include "base/wakeup.h"
 #include "membership/controlports.h"
 
 #include <atomic>
@@ -19,7 +20,8 @@
 class AgentLink
 {
 public:
-    AgentLink(const Endpoint &agent, ControlStateSink &sink);
+    /** @param statusChanged notified when the status is to be reported at once */
+    AgentLink(const Endpoint &agent, ControlStateSink &sink, Wakeup &statusChanged);
     ~AgentLink();
     AgentLink(const AgentLink &) = delete;
     AgentLink &operator=(const AgentLink &) = delete;
@@ -32,6 +34,7 @@
 
     Endpoint agent;
     ControlStateSink &sink;
+    Wakeup &statusChanged;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/src/rpc/ledgerclient.cpp
+++ b/src/rpc/ledgerclient.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logline.h"
 #include "rpc/ledgerconversion.h"
+#include "rpc/wakeupstream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -112,12 +113,9 @@
 {
     auto io = kj::setupAsyncIo();
     LedgerQueries running(io, this->results);
-    auto wakeups = io.lowLevelProvider->wrapInputFd(this->wakeup.descriptor(),
-                                                    kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    WakeupStream wakeups(io, this->wakeup);
     while (!this->stopping.load()) {
-        std::uint64_t count = 0;
-        wakeups->read(&count, sizeof count).wait(io.waitScope);
-        this->wakeup.clear();
+        wakeups.wait().wait(io.waitScope);
         while (auto query = this->queries.tryPop()) {
             running.start(std::move(*query));
         }
--- a/src/rpc/ledgerserver.cpp
+++ b/src/rpc/ledgerserver.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "rpc/ledgerconversion.h"
 #include "rpc/listener.h"
+#include "rpc/wakeupstream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -110,12 +111,9 @@
     auto serving = server.listen(*listener).eagerlyEvaluate([](kj::Exception &&error) {
         LogLine("rpc_listener_failed", LogLevel::Error).add("error", error.getDescription().cStr());
     });
-    auto wakeups = io.lowLevelProvider->wrapInputFd(this->wakeup.descriptor(),
-                                                    kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    WakeupStream wakeups(io, this->wakeup);
     while (!this->stopping.load()) {
-        std::uint64_t count = 0;
-        wakeups->read(&count, sizeof count).wait(io.waitScope);
-        this->wakeup.clear();
+        wakeups.wait().wait(io.waitScope);
         while (auto reply = this->replies.tryPop()) {
             service.deliver(std::move(*reply));
         }
--- a/tests/agent/peerrpctest.cpp
+++ b/tests/agent/peerrpctest.cpp
@@ -1,6 +1,8 @@
 #include "gossipcluster.h"
 
 #include "agent/worker.h"
+#include "entry/controlinbox.h"
+#include "rpc/agentlink.h"
 #include "rpc/agentserver.h"
 #include "rpc/conversion.h"
 #include "rpc/peerclient.h"
@@ -157,4 +159,27 @@
     BOOST_TEST((repeated.get_future().wait_for(20s) == std::future_status::ready));
 }
 
+// Guards against a leaving entry that lookups name for a second longer, since its report waits for
+// the answer to the one before. Six reports that wait take more than 4 s.
+BOOST_AUTO_TEST_CASE(an_entry_reports_its_leaving_at_once)
+{
+    RpcAgent agent(0);
+    Wakeup wakeup;
+    Wakeup statusChanged;
+    EntryStatus status = agent.agent.status;
+    ControlInbox inbox(status, wakeup, statusChanged);
+    AgentLink link(agent.server.localEndpoint(), inbox, statusChanged);
+    const auto own = [&] { return agent.agent.state.members().at(0); };
+    BOOST_TEST(eventually([&] { return inbox.takeState().has_value(); }));
+    const auto start = std::chrono::steady_clock::now();
+    for (unsigned change = 0; change < 5; ++change) {
+        status.incarnation = status.incarnation.next();
+        inbox.setIncarnation(status.incarnation);
+        BOOST_TEST(eventually([&] { return own().incarnation == status.incarnation; }));
+    }
+    inbox.setLeaving();
+    BOOST_TEST(eventually([&] { return own().state == MemberState::Leaving; }));
+    BOOST_CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
