Share the start-up of the two RPC servers

Cause: AgentServer and LedgerServer held the same lines that start the thread and wait for the port. Change: startServer() next to bindListener() does both. Left: the other repeated places that the search lists in src are generated code, includes and option lists. Conclusion: tests of rpc and the agent's RPC tests pass.

--- a/src/rpc/agentserver.cpp
+++ b/src/rpc/agentserver.cpp
@@ -1,6 +1,5 @@
 #include "rpc/agentserver.h"
 
-#include "base/error.h"
 #include "base/logline.h"
 #include "rpc/controlconnections.h"
 #include "rpc/listener.h"
@@ -21,15 +20,9 @@
     , peers(peers)
     , counters(counters)
 {
-    std::promise<std::uint16_t> ready;
-    auto port = ready.get_future();
-    this->thread = std::thread([this, endpoint, &ready] { this->run(endpoint, ready); });
-    try {
-        this->bound = {endpoint.host, port.get()};
-    } catch (const Error &) {
-        this->thread.join();
-        throw;
-    }
+    const auto body
+        = [this, endpoint](std::promise<std::uint16_t> &ready) { this->run(endpoint, ready); };
+    this->bound = {endpoint.host, startServer(this->thread, body)};
 }
 
 AgentServer::~AgentServer()
--- a/src/rpc/ledgerserver.cpp
+++ b/src/rpc/ledgerserver.cpp
@@ -1,6 +1,5 @@
 #include "rpc/ledgerserver.h"
 
-#include "base/error.h"
 #include "base/logline.h"
 #include "rpc/ledgerconversion.h"
 #include "rpc/listener.h"
@@ -65,15 +64,9 @@
     : questions(questions)
     , replies(MaxQuestions, this->wakeup)
 {
-    std::promise<std::uint16_t> ready;
-    auto port = ready.get_future();
-    this->thread = std::thread([this, endpoint, &ready] { this->run(endpoint, ready); });
-    try {
-        this->bound = {endpoint.host, port.get()};
-    } catch (const Error &) {
-        this->thread.join();
-        throw;
-    }
+    const auto body
+        = [this, endpoint](std::promise<std::uint16_t> &ready) { this->run(endpoint, ready); };
+    this->bound = {endpoint.host, startServer(this->thread, body)};
 }
 
 LedgerServer::~LedgerServer()
--- a/src/rpc/listener.cpp
+++ b/src/rpc/listener.cpp
@@ -20,4 +20,18 @@
     }
 }
 
+std::uint16_t startServer(std::thread &thread,
+                          const std::function<void(std::promise<std::uint16_t> &)> &run)
+{
+    std::promise<std::uint16_t> ready;
+    auto port = ready.get_future();
+    thread = std::thread([run, &ready] { run(ready); });
+    try {
+        return port.get();
+    } catch (const Error &) {
+        thread.join();
+        throw;
+    }
+}
+
 } // namespace bronzeshed
--- a/src/rpc/listener.h
+++ b/src/rpc/listener.h
@@ -3,8 +3,10 @@
 
 #include "base/settings.h"
 
+#include <functional>
 #include <future>
 #include <kj/async-io.h>
+#include <thread>
 
 namespace bronzeshed {
 
@@ -16,6 +18,13 @@
 kj::Own<kj::ConnectionReceiver> bindListener(kj::AsyncIoContext &io, const Endpoint &endpoint,
                                              std::promise<std::uint16_t> &ready);
 
+/**
+ * Starts @p thread with @p run, which is to call bindListener() first, and waits for the port.
+ * @throws Error if the endpoint could not be bound; the thread has then ended
+ */
+std::uint16_t startServer(std::thread &thread,
+                          const std::function<void(std::promise<std::uint16_t> &)> &run);
+
 } // namespace bronzeshed
 
 #endif
