Write to the eventfd of a consumer only while it watches it

Cause: a notification wrote to the eventfd whenever the consumer had not yet cleared the last one, so a busy decision thread caused a write, a ppoll and a read for each burst of events. A sleeping thread needed two calls, ppoll and read, to wake up.

Change: Wakeup keeps a state (awake, sleeping, watched, notified). An awake consumer is not woken; a sleeping one waits in one futex call. Event loops that watch the descriptor go on using the eventfd.

The new test guards against sleeping over a notification that came while the consumer was awake; with the check of the notified state before the sleep taken out it fails (consumer_sees_every_event passes).

--- a/src/base/wakeup.cpp
+++ b/src/base/wakeup.cpp
@@ -4,9 +4,11 @@
 #include <cerrno>
 #include <cstdint>
 #include <ctime>
-#include <poll.h>
+#include <linux/futex.h>
 #include <sys/eventfd.h>
+#include <sys/syscall.h>
 #include <system_error>
+#include <unistd.h>
 
 namespace bronzeshed {
 
@@ -21,34 +23,44 @@
 
 void Wakeup::notify()
 {
-    if (this->pending.exchange(true)) {
-        return;
+    switch (this->state.exchange(Notified)) {
+    case Watched: {
+        const std::uint64_t one = 1;
+        // The write cannot fail: the counter holds at most one pending notification.
+        [[maybe_unused]] const auto written = ::write(this->event.get(), &one, sizeof one);
+        break;
+    }
+    case Sleeping:
+        ::syscall(SYS_futex, &this->state, FUTEX_WAKE_PRIVATE, 1, nullptr, nullptr, 0);
+        break;
+    default:
+        break;
     }
-    const std::uint64_t one = 1;
-    // The write cannot fail: the counter holds at most one pending notification.
-    [[maybe_unused]] const auto written = ::write(this->event.get(), &one, sizeof one);
 }
 
 void Wakeup::wait(Duration timeout)
 {
-    const auto bounded = std::max(timeout, Duration::zero());
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(bounded);
-    timespec limit{};
-    limit.tv_sec = seconds.count();
-    limit.tv_nsec = (bounded - seconds).count();
-    pollfd entry{this->event.get(), POLLIN, 0};
-    if (::ppoll(&entry, 1, &limit, nullptr) > 0) {
-        this->clear();
+    if (this->state.exchange(Sleeping) != Notified) {
+        const auto bounded = std::max(timeout, Duration::zero());
+        const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(bounded);
+        timespec limit{};
+        limit.tv_sec = seconds.count();
+        limit.tv_nsec = (bounded - seconds).count();
+        // Returns at once if a notification came after the exchange.
+        ::syscall(SYS_futex, &this->state, FUTEX_WAIT_PRIVATE, Sleeping, &limit, nullptr, 0);
     }
+    // With acquire order: an event pushed before a notification that this exchange discards is seen
+    // by the consumer, which drains the rings after wait().
+    this->state.exchange(Awake);
 }
 
 void Wakeup::clear()
 {
     std::uint64_t count = 0;
     [[maybe_unused]] const auto size = ::read(this->event.get(), &count, sizeof count);
-    // Cleared after the read, with acquire order: a notify() between the two finds the flag set,
-    // and the consumer still sees its event because it drains the rings after clear().
-    this->pending.exchange(false);
+    // After the read, with acquire order: a notify() between the two finds the event already
+    // noted, and the consumer still sees it because it drains the rings after clear().
+    this->state.exchange(Watched);
 }
 
 } // namespace bronzeshed
--- a/src/base/wakeup.h
+++ b/src/base/wakeup.h
@@ -5,12 +5,14 @@
 #include "base/filedescriptor.h"
 
 #include <atomic>
+#include <cstdint>
 
 namespace bronzeshed {
 
 /**
- * Wakes one sleeping thread from others. Notifications while the thread is busy are merged into
- * one, so a busy consumer costs its producers no system call.
+ * Wakes one sleeping thread from others. A notification makes a system call only if the thread
+ * sleeps in wait() or watches the descriptor, so a busy consumer costs its producers none. A
+ * thread uses either wait(), or descriptor() and clear().
  */
 class Wakeup
 {
@@ -30,8 +32,16 @@
     void clear();
 
 private:
+    /** What the consumer does, or that a notification came since it last did anything. */
+    enum State : std::uint32_t {
+        Watched, ///< it may watch the descriptor
+        Awake,
+        Sleeping, ///< in wait()
+        Notified,
+    };
+
     FileDescriptor event;
-    std::atomic<bool> pending{false};
+    std::atomic<std::uint32_t> state{Watched};
 };
 
 } // namespace bronzeshed
--- a/tests/base/eventringtest.cpp
+++ b/tests/base/eventringtest.cpp
@@ -49,4 +49,16 @@
     producer.join();
 }
 
+// Guards against sleeping over a notification that came while the consumer was awake.
+BOOST_AUTO_TEST_CASE(wait_returns_after_an_earlier_notification)
+{
+    constexpr std::chrono::seconds Limit{10};
+    Wakeup wakeup;
+    wakeup.wait(Duration::zero());
+    wakeup.notify();
+    const TimePoint start = std::chrono::steady_clock::now();
+    wakeup.wait(Limit);
+    BOOST_CHECK(std::chrono::steady_clock::now() - start < Limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
