Send requests and parse responses without a turn of the event loop

Cause: an exchange set and cancelled a timer for its write and for its read, and each step of Beast (write, read of the header, read of the body) came back through the event loop with another epoll_wait, also when the bytes were there already.

Change: the request goes out by one send(), and the rest, if any, by an asynchronous write. What the first read brings is parsed at once. LazyTimer keeps the limit of a connection: a later limit costs no timer operation, because the running timer looks at the limit when it fires. The check that an idle connection is quiet stays, so one recv() an exchange stays too.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include "http/connectionpool.h"
 
 #include "http/beastmessage.h"
+#include "http/directtransfer.h"
 #include "http/pooledconnection.h"
 
 #include <atomic>
@@ -35,6 +36,7 @@
  */
 constexpr std::chrono::milliseconds DeadlineTolerance{20};
 constexpr std::chrono::seconds SweepPeriod{5};
+constexpr std::size_t ReadChunkBytes = 4096;
 
 } // namespace
 
@@ -91,11 +93,12 @@
 private:
     void connect();
     void write();
+    void startReading();
     void readHeader();
     void handleHeader();
     void readBody();
     void succeed();
-    void fail(beast::error_code error);
+    void fail();
     void finish(ExchangeResult result);
 
     std::shared_ptr<Implementation> pool;
@@ -139,7 +142,7 @@
 {
     auto &queue = this->idle[endpoint];
     connection->lastUse = std::chrono::steady_clock::now();
-    connection->stream.expires_never();
+    connection->setLimit(TimePoint::max());
     queue.push_back(std::move(connection));
     if (queue.size() > this->limits.idlePerEndpoint) {
         queue.pop_front();
@@ -201,7 +204,7 @@
     this->connection->stream.async_connect(
         address, [self = this->shared_from_this()](beast::error_code error) {
             if (error || self->cancelled) {
-                self->fail(error);
+                self->fail();
                 return;
             }
             beast::error_code ignored;
@@ -213,27 +216,57 @@
 void ConnectionPool::Implementation::Exchange::write()
 {
     this->writing = true;
-    this->connection->stream.expires_at(this->deadline);
-    asio::async_write(this->connection->stream, asio::buffer(this->message),
+    this->connection->stream.expires_never();
+    this->connection->setLimit(this->deadline);
+    // Nearly always the whole request fits into the socket's buffer.
+    const std::size_t sent
+        = sendNow(this->connection->stream.socket().native_handle(), this->message);
+    if (sent == this->message.size()) {
+        this->startReading();
+        return;
+    }
+    asio::async_write(this->connection->stream, asio::buffer(this->message) + sent,
                       [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                           if (error) {
-                              self->fail(error);
+                              self->fail();
                               return;
                           }
-                          self->readHeader();
+                          self->startReading();
                       });
 }
 
+void ConnectionPool::Implementation::Exchange::startReading()
+{
+    this->connection->stream.async_read_some(
+        this->connection->buffer.prepare(ReadChunkBytes),
+        [self = this->shared_from_this()](beast::error_code error, std::size_t size) {
+            if (error) {
+                self->fail();
+                return;
+            }
+            self->connection->buffer.commit(size);
+            self->readHeader();
+        });
+}
+
 void ConnectionPool::Implementation::Exchange::readHeader()
 {
     this->parser.emplace();
     this->parser->body_limit(this->pool->limits.bodyBytes);
     this->parser->skip(this->headOnly);
+    if (parseBuffered(*this->parser, this->connection->buffer)) {
+        this->fail();
+        return;
+    }
+    if (this->parser->is_header_done()) {
+        this->handleHeader();
+        return;
+    }
     http::async_read_header(
         this->connection->stream, this->connection->buffer, *this->parser,
         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
             if (error) {
-                self->fail(error);
+                self->fail();
                 return;
             }
             self->handleHeader();
@@ -252,7 +285,7 @@
     }
     if (status == SwitchingProtocols || this->parser->need_eof()) {
         // Without a length or chunks, a truncated response looks whole.
-        this->fail(http::error::partial_message);
+        this->fail();
         return;
     }
     this->readBody();
@@ -260,10 +293,14 @@
 
 void ConnectionPool::Implementation::Exchange::readBody()
 {
+    if (this->parser->is_done()) {
+        this->succeed();
+        return;
+    }
     http::async_read(this->connection->stream, this->connection->buffer, *this->parser,
                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                          if (error) {
-                             self->fail(error);
+                             self->fail();
                              return;
                          }
                          self->succeed();
@@ -276,20 +313,20 @@
     this->pool->noteAnswer(this->endpoint);
     // Bytes after the response would be taken for the answer of the next exchange.
     const bool reusable = response.keep_alive() && this->connection->buffer.size() == 0;
-    if (reusable && !this->cancelled) {
+    if (reusable && !this->cancelled && !this->connection->isTimedOut()) {
         this->pool->putIdle(this->endpoint, std::move(this->connection));
     }
     this->finish({ExchangeStatus::Answered, fromBeastResponse(std::move(response))});
 }
 
-void ConnectionPool::Implementation::Exchange::fail(beast::error_code error)
+void ConnectionPool::Implementation::Exchange::fail()
 {
     ExchangeResult result;
     if (!this->writing) {
         result.status = ExchangeStatus::NotSent;
     } else if (this->cancelled) {
         result.status = ExchangeStatus::Cancelled;
-    } else if (error == beast::error::timeout) {
+    } else if (this->connection && this->connection->isTimedOut()) {
         result.status = ExchangeStatus::TimedOut;
     } else {
         result.status = ExchangeStatus::Failed;
--- a/src/http/pooledconnection.h
+++ b/src/http/pooledconnection.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_HTTP_POOLEDCONNECTION_H
 
 #include "base/clock.h"
+#include "http/lazytimer.h"
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 public:
     PooledConnection(boost::asio::io_context &context, std::atomic<std::size_t> &count)
         : stream(context)
+        , timer(context.get_executor(), [this] { this->timeOut(); })
         , count(count)
     {
         ++this->count;
@@ -35,11 +37,23 @@
         return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    /** Closes the connection at @p limit. TimePoint::max() means never. */
+    void setLimit(TimePoint limit) { this->timer.setLimit(limit); }
+    bool isTimedOut() const { return this->timedOut; }
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     TimePoint lastUse;
 
 private:
+    void timeOut()
+    {
+        this->timedOut = true;
+        this->stream.close();
+    }
+
+    LazyTimer timer;
+    bool timedOut = false;
     std::atomic<std::size_t> &count;
 };
 
