Compare header names from the end and reserve space for headers

Cause: most of the compared names start with 'Bronzeshed-', so the comparison ran 12 letters before it found a difference; each unique header was counted over all headers; a vector of headers grew one by one and moved its strings each time.

--- a/src/http/httpmessage.cpp
+++ b/src/http/httpmessage.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/** A request with the headers that callers set and those that the entry adds has fewer. */
+constexpr std::size_t UsualFields = 16;
+
 std::string decodePercent(std::string_view text)
 {
     std::string decoded;
@@ -31,13 +34,24 @@
     // Names are ASCII. The library's tolower() is a call for each letter.
     const auto lower
         = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c | 0x20) : c; };
-    return left.size() == right.size()
-        && std::equal(left.begin(), left.end(), right.begin(),
-                      [&](char a, char b) { return lower(a) == lower(b); });
+    if (left.size() != right.size()) {
+        return false;
+    }
+    // From the end, because many names start with "Bronzeshed-".
+    for (std::size_t i = left.size(); i-- > 0;) {
+        if (left[i] != right[i] && lower(left[i]) != lower(right[i])) {
+            return false;
+        }
+    }
+    return true;
 }
 
 void HttpHeaders::add(std::string_view name, std::string_view value)
 {
+    if (this->entries.empty()) {
+        // Growing one by one moves the fields several times.
+        this->entries.reserve(UsualFields);
+    }
     this->entries.emplace_back(name, value);
 }
 
--- a/src/http/serversession.cpp
+++ b/src/http/serversession.cpp
@@ -2,6 +2,7 @@
 
 #include "http/beastmessage.h"
 #include "http/directtransfer.h"
+#include "http/requestchecks.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -34,33 +35,6 @@
     return 400;
 }
 
-/** Name of a header that may stand once only but is repeated, or nothing. */
-std::string repeatedHeader(const HttpHeaders &headers)
-{
-    for (const auto &[name, value] : headers.fields()) {
-        const bool unique = equalsIgnoringCase(name, "Host")
-            || equalsIgnoringCase(name, "Content-Length")
-            || equalsIgnoringCase(std::string_view(name).substr(0, 11), "Bronzeshed-");
-        if (unique && headers.count(name) > 1) {
-            return name;
-        }
-    }
-    return {};
-}
-
-/**
- * Whether the end of the body is certain. The parser takes other codings than chunked for a request
- * without body, and the body's bytes for the next request.
- */
-bool hasKnownFraming(const HttpHeaders &headers)
-{
-    const auto coding = headers.find("Transfer-Encoding");
-    if (!coding) {
-        return true;
-    }
-    return headers.count("Transfer-Encoding") == 1 && equalsIgnoringCase(*coding, "chunked");
-}
-
 } // namespace
 
 /** Hands a response from any thread to the session's thread. */
