Serialize HTTP messages with Beast again

Cause: formatRequest() and formatResponse() wrote the start line and headers by hand. HTTP is Beast's job in this project, also where a hand-written text is faster. Change: both build a Beast message and flatten what its serializer gives into the one string that one send() takes. A response that cannot have a body still gets none. http and entry tests pass unchanged.

--- a/src/http/beastmessage.cpp
+++ b/src/http/beastmessage.cpp
@@ -24,21 +24,31 @@
                        [&](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
-/** Room for the start line, the headers added here and separators. */
-constexpr std::size_t HeadReserve = 256;
-
-void appendField(std::string &text, std::string_view name, std::string_view value)
+/** Copies the headers of a message that is passed on, all but @p replaced. */
+void copyFields(const HttpHeaders &headers, http::fields &fields, std::string_view replaced = {})
 {
-    text.append(name).append(": ").append(value).append("\r\n");
+    for (const auto &[name, value] : headers.fields()) {
+        if (!isConnectionHeader(name) && !equalsIgnoringCase(name, replaced)) {
+            fields.insert(name, value);
+        }
+    }
 }
 
-std::size_t sizeOf(const HttpHeaders &headers)
+template<bool isRequest>
+std::string serialize(const http::message<isRequest, http::string_body> &message)
 {
-    std::size_t size = HeadReserve;
-    for (const auto &[name, value] : headers.fields()) {
-        size += name.size() + value.size() + 4;
+    http::serializer<isRequest, http::string_body> serializer(message);
+    std::string text;
+    boost::beast::error_code error;
+    while (!error && !serializer.is_done()) {
+        serializer.next(error, [&](boost::beast::error_code &, const auto &buffers) {
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                text.append(static_cast<const char *>(buffer.data()), buffer.size());
+            }
+            serializer.consume(boost::beast::buffer_bytes(buffers));
+        });
     }
-    return size;
+    return text;
 }
 
 /** Whether a response with this status ends with its header (RFC 9112, 6.3). */
@@ -48,53 +58,39 @@
         || status == http::status::no_content || status == http::status::not_modified;
 }
 
-/** Whether the method expects a body, so that an empty one is announced (RFC 9110, 8.6). */
-bool expectsBody(const std::string &method)
-{
-    return method == "POST" || method == "PUT" || method == "OPTIONS";
-}
-
 } // namespace
 
 std::string formatRequest(const HttpRequest &request, const std::string &host, bool keepAlive)
 {
-    std::string text;
-    text.reserve(sizeOf(request.headers) + request.target.size() + request.body.size());
-    text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-    appendField(text, "Host", host);
-    for (const auto &[name, value] : request.headers.fields()) {
-        if (!isConnectionHeader(name) && !equalsIgnoringCase(name, "Host")) {
-            appendField(text, name, value);
-        }
-    }
-    if (!keepAlive) {
-        appendField(text, "Connection", "close");
-    }
-    if (!request.body.empty() || expectsBody(request.method)) {
-        appendField(text, "Content-Length", std::to_string(request.body.size()));
-    }
-    return text.append("\r\n").append(request.body);
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    // The first of the fields, as RFC 9110, 7.2 advises.
+    message.set(http::field::host, host);
+    copyFields(request.headers, message, "Host");
+    message.keep_alive(keepAlive);
+    message.body() = request.body;
+    message.prepare_payload();
+    return serialize(message);
 }
 
 std::string formatResponse(const HttpResponse &response, bool keepAlive, bool headOnly)
 {
-    const http::status status = http::int_to_status(response.status);
-    const bool bodiless = hasNoBody(status);
-    std::string text;
-    text.reserve(sizeOf(response.headers) + response.body.size());
-    text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
-    text.append(std::string_view(http::obsolete_reason(status))).append("\r\n");
-    for (const auto &[name, value] : response.headers.fields()) {
-        if (!isConnectionHeader(name)) {
-            appendField(text, name, value);
-        }
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(response.status);
+    copyFields(response.headers, message);
+    message.keep_alive(keepAlive);
+    // Beast throws if a response that cannot have a body is given one.
+    if (!hasNoBody(message.result())) {
+        message.body() = response.body;
     }
-    if (!keepAlive) {
-        appendField(text, "Connection", "close");
+    message.prepare_payload();
+    if (headOnly) {
+        message.body().clear();
     }
-    appendField(text, "Content-Length", std::to_string(bodiless ? 0 : response.body.size()));
-    text.append("\r\n");
-    return headOnly || bodiless ? text : text.append(response.body);
+    return serialize(message);
 }
 
 HttpResponse fromBeastResponse(BeastResponse &&message)
--- a/src/http/beastmessage.h
+++ b/src/http/beastmessage.h
@@ -12,7 +12,7 @@
 
 /**
  * A request as it goes over the wire; for adapter sources only, since this header pulls in Beast.
- * Beast's serializer costs several times the instructions of one flat string.
+ * It is one string, so that one send() takes it.
  */
 std::string formatRequest(const HttpRequest &request, const std::string &host, bool keepAlive);
 
