--- a/src/http/beastmessage.cpp
+++ b/src/http/beastmessage.cpp
@@ -24,24 +24,73 @@
                        [&](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
+/** Copies the headers of a message that is passed on, all but @p replaced. */
+void copyFields(const HttpHeaders &headers, http::fields &fields, std::string_view replaced = {})
+{
+    for (const auto &[name, value] : headers.fields()) {
+        if (!isConnectionHeader(name) && !equalsIgnoringCase(name, replaced)) {
+            fields.insert(name, value);
+        }
+    }
+}
+
+template<bool isRequest>
+std::string serialize(const http::message<isRequest, http::string_body> &message)
+{
+    http::serializer<isRequest, http::string_body> serializer(message);
+    std::string text;
+    boost::beast::error_code error;
+    while (!error && !serializer.is_done()) {
+        serializer.next(error, [&](boost::beast::error_code &, const auto &buffers) {
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                text.append(static_cast<const char *>(buffer.data()), buffer.size());
+            }
+            serializer.consume(boost::beast::buffer_bytes(buffers));
+        });
+    }
+    return text;
+}
+
+/** Whether a response with this status ends with its header (RFC 9112, 6.3). */
+bool hasNoBody(http::status status)
+{
+    return http::to_status_class(status) == http::status_class::informational
+        || status == http::status::no_content || status == http::status::not_modified;
+}
+
 } // namespace
 
-BeastRequest toBeastRequest(const HttpRequest &request, const std::string &host, bool keepAlive)
+std::string formatRequest(const HttpRequest &request, const std::string &host, bool keepAlive)
 {
-    BeastRequest message;
+    http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    for (const auto &[name, value] : request.headers.fields()) {
-        if (!isConnectionHeader(name) && !equalsIgnoringCase(name, "Host")) {
-            message.insert(name, value);
-        }
-    }
+    // The first of the fields, as RFC 9110, 7.2 advises.
     message.set(http::field::host, host);
+    copyFields(request.headers, message, "Host");
+    message.keep_alive(keepAlive);
     message.body() = request.body;
+    message.prepare_payload();
+    return serialize(message);
+}
+
+std::string formatResponse(const HttpResponse &response, bool keepAlive, bool headOnly)
+{
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(response.status);
+    copyFields(response.headers, message);
     message.keep_alive(keepAlive);
+    // Beast throws if a response that cannot have a body is given one.
+    if (!hasNoBody(message.result())) {
+        message.body() = response.body;
+    }
     message.prepare_payload();
-    return message;
+    if (headOnly) {
+        message.body().clear();
+    }
+    return serialize(message);
 }
 
 HttpResponse fromBeastResponse(BeastResponse &&message)
