--- a/src/agent/agentstate.cpp
+++ b/src/agent/agentstate.cpp
@@ -86,13 +86,16 @@
     member.configVersion = status.configVersionInForce;
     member.state = status.leaving ? MemberState::Leaving : MemberState::Alive;
     const auto known = this->table.find(member.id);
-    const auto &self = this->table.self();
-    const bool isNew = !self || self->incarnation != member.incarnation;
-    if (isNew && known && known->incarnation > member.incarnation) {
-        LogLine("incarnation_behind", LogLevel::Warning)
-            .add("known", known->incarnation.value())
-            .add("reported", member.incarnation.value())
-            .add("remedy", "set the clock of this instance and restart its entry");
+    if (known && known->incarnation > member.incarnation) {
+        // Published, it would be taken for an old record. The entry sees the known one in its
+        // control state and takes a higher incarnation.
+        if (member.incarnation != this->refused) {
+            LogLine("incarnation_behind", LogLevel::Warning)
+                .add("known", known->incarnation.value())
+                .add("reported", member.incarnation.value());
+        }
+        this->refused = member.incarnation;
+        return;
     }
     this->table.setSelf(member);
     this->handleChanges(true);
@@ -161,8 +164,11 @@
 
 bool AgentState::mergeMarksLocked(const LeaveMarks &marks, bool forward)
 {
+    LeaveMarks offered = marks;
+    // A mark that was dropped here must not come back from a peer that drops it later.
+    dropLapsedMarks(offered, this->listed, wallClockMs());
     LeaveMarks newer;
-    for (const auto &[upstream, mark] : marks) {
+    for (const auto &[upstream, mark] : offered) {
         const auto known = this->newest.leaveMarks.find(upstream);
         if (known == this->newest.leaveMarks.end() || supersedes(mark, known->second)) {
             newer[upstream] = mark;
@@ -183,9 +189,22 @@
     return true;
 }
 
+/** The entry needs no new state for it: it does not know the upstreams of these marks. */
+void AgentState::dropMarks()
+{
+    const std::size_t count = dropLapsedMarks(this->newest.leaveMarks, this->listed, wallClockMs());
+    if (count > 0) {
+        LogLine("leave_marks_lapsed").add("count", count);
+    }
+}
+
 void AgentState::adoptInstances(const InstanceSnapshot &snapshot)
 {
     const std::lock_guard lock(this->mutex);
+    this->listed.clear();
+    for (const UpstreamInfo &upstream : snapshot.upstreams) {
+        this->listed.insert(upstream.id);
+    }
     if (!this->instances || this->instances->upstreams != snapshot.upstreams) {
         ++this->sequence;
     }
@@ -269,6 +288,7 @@
     }
     this->table.tick();
     this->handleChanges(false);
+    this->dropMarks();
     this->updateAlone();
     this->wakeForNews();
 }
--- a/src/agent/configkeeper.cpp
+++ b/src/agent/configkeeper.cpp
@@ -170,7 +170,7 @@
     for (const UpstreamInfo &upstream : this->agent.upstreams()) {
         listed.insert(upstream.id);
     }
-    ConfigHistory::pruneLeaveMarks(record, listed);
+    dropLapsedMarks(record.leaveMarks, listed, this->clock());
 }
 
 /** Makes the record fit into one value of the store. */
--- a/src/agent/configkeepermarks.cpp
+++ b/src/agent/configkeepermarks.cpp
@@ -43,7 +43,15 @@
     if (this->pending.size() >= MaxPendingMarks) {
         return ChangeRefused{"too many leave marks wait for the store; repeat when it answers"};
     }
-    const std::uint64_t counter = mark == known.end() ? 1 : mark->second.counter + 1;
+    if (mark == known.end() && known.size() >= ConfigHistory::MaxLeaveMarks) {
+        return ChangeRefused{"there are already " + std::to_string(known.size())
+                             + " leave marks; repeat when marks of removed upstreams have lapsed, "
+                             + std::to_string(LeaveMarkLifetime.count())
+                             + " h after they were made"};
+    }
+    const auto now = static_cast<std::uint64_t>(this->clock());
+    const std::uint64_t counter
+        = mark == known.end() ? now : std::max(now, mark->second.counter + 1);
     next.marks = {{upstream, {counter, leaving}}};
     try {
         // Refuses a malformed operator name before the mark takes effect anywhere.
--- a/src/agent/operatorapi.cpp
+++ b/src/agent/operatorapi.cpp
@@ -64,18 +64,21 @@
 }
 
 OperatorApi::OperatorApi(ConfigKeeperPort &agent, KeyValueStore &store, ConfigKeeper &keeper,
-                         std::string token)
+                         FleetCallsSource &calls, std::string token)
     : agent(agent)
     , store(store)
     , keeper(keeper)
+    , calls(calls)
     , token(std::move(token))
     , worker(MaxWaitingJobs, MaintenancePeriod, [this] { this->maintain(); })
+    , callsWorker(MaxWaitingJobs, MaintenancePeriod, [] {})
 {
 }
 
 void OperatorApi::stop()
 {
     this->worker.stop();
+    this->callsWorker.stop();
 }
 
 void OperatorApi::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
@@ -121,8 +124,7 @@
     if (path == DeclarationPath) {
         exchange->respond(declarationResponse(this->agent.record()));
     } else if (path == "/v1/status") {
-        exchange->respond(
-            statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams()));
+        this->handleStatus(request, exchange);
     } else if (path == "/v1/history") {
         this->handleHistory(request, exchange);
     } else {
@@ -131,6 +133,21 @@
     }
 }
 
+void OperatorApi::handleStatus(const HttpRequest &request, const Exchange &exchange)
+{
+    // Counts are read only on request: 'apply' asks for the status ten times a second.
+    if (request.queryValue("calls") != "1") {
+        exchange->respond(
+            statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams()));
+        return;
+    }
+    runBlocking(this->callsWorker, exchange, [this] {
+        const FleetCalls fleet = this->calls.read();
+        return statusResponse(this->agent.record(), this->agent.members(), this->agent.upstreams(),
+                              &fleet);
+    });
+}
+
 void OperatorApi::handleHistory(const HttpRequest &request, const Exchange &exchange)
 {
     const std::string page = request.queryValue("page");
@@ -144,7 +161,7 @@
             failureResponse(400, "the page is not a number", "give a number below archived_pages"));
         return;
     }
-    this->runBlocking(exchange, [this, number] { return this->readPage(*number); });
+    runBlocking(this->worker, exchange, [this, number] { return this->readPage(*number); });
 }
 
 HttpResponse OperatorApi::readPage(std::uint64_t page)
@@ -182,7 +199,7 @@
         this->markUpstream(request, exchange);
         return;
     }
-    this->runBlocking(exchange, [this, request = std::move(request)] {
+    runBlocking(this->worker, exchange, [this, request = std::move(request)] {
         return loggedResponse(request, this->applyDeclaration(request));
     });
 }
@@ -205,7 +222,7 @@
         return;
     }
     const auto mark = std::get<ConfigKeeper::PendingMark>(put);
-    const bool waits = this->tryRunBlocking(exchange, [this, request, mark] {
+    const bool waits = tryRunBlocking(this->worker, exchange, [this, request, mark] {
         return loggedResponse(request, this->keeper.recordMark(mark));
     });
     if (!waits) {
@@ -213,17 +230,19 @@
     }
 }
 
-void OperatorApi::runBlocking(const Exchange &exchange, std::function<HttpResponse()> work)
+void OperatorApi::runBlocking(OperatorWorker &worker, const Exchange &exchange,
+                              std::function<HttpResponse()> work)
 {
-    if (!this->tryRunBlocking(exchange, std::move(work))) {
+    if (!tryRunBlocking(worker, exchange, std::move(work))) {
         exchange->respond(failureResponse(503, "too many operator requests wait; nothing was done",
                                           "repeat in a few seconds or use another agent"));
     }
 }
 
-bool OperatorApi::tryRunBlocking(const Exchange &exchange, std::function<HttpResponse()> work)
+bool OperatorApi::tryRunBlocking(OperatorWorker &worker, const Exchange &exchange,
+                                 std::function<HttpResponse()> work)
 {
-    return this->worker.tryRun([exchange, work = std::move(work)] {
+    return worker.tryRun([exchange, work = std::move(work)] {
         try {
             exchange->respond(work());
         } catch (const std::exception &error) {
--- a/src/ctl/ctlcommands.cpp
+++ b/src/ctl/ctlcommands.cpp
@@ -4,6 +4,7 @@
 #include "config/declaration.h"
 #include "config/declarationdiff.h"
 #include "ctl/ctlreport.h"
+#include "ctl/historyreport.h"
 
 #include <boost/json.hpp>
 #include <cstdio>
@@ -163,16 +164,16 @@
 
 CtlExit CtlCommands::status()
 {
-    const json::value answer = this->client.read("/v1/status");
+    const json::value answer = this->client.read("/v1/status?calls=1");
     this->output << (this->options.json ? json::serialize(answer) + "\n" : formatStatus(answer));
     return CtlExit::Done;
 }
 
 CtlExit CtlCommands::history()
 {
-    const json::value answer = this->client.read("/v1/history");
-    this->output << (this->options.json ? json::serialize(answer) + "\n" : formatHistory(answer));
-    return CtlExit::Done;
+    const HistoryReport report = readHistory(this->client, this->options.limit);
+    this->output << formatHistory(report, this->options.json);
+    return report.problem.empty() ? CtlExit::Done : CtlExit::Failed;
 }
 
 CtlExit CtlCommands::waitInForce(std::uint64_t version)
--- a/src/rpc/ledgerserver.cpp
+++ b/src/rpc/ledgerserver.cpp
@@ -1,9 +1,9 @@
 #include "rpc/ledgerserver.h"
 
-#include "base/error.h"
 #include "base/logline.h"
 #include "rpc/ledgerconversion.h"
 #include "rpc/listener.h"
+#include "rpc/wakeupstream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -64,15 +64,9 @@
     : questions(questions)
     , replies(MaxQuestions, this->wakeup)
 {
-    std::promise<std::uint16_t> ready;
-    auto port = ready.get_future();
-    this->thread = std::thread([this, endpoint, &ready] { this->run(endpoint, ready); });
-    try {
-        this->bound = {endpoint.host, port.get()};
-    } catch (const Error &) {
-        this->thread.join();
-        throw;
-    }
+    const auto body
+        = [this, endpoint](std::promise<std::uint16_t> &ready) { this->run(endpoint, ready); };
+    this->bound = {endpoint.host, startServer(this->thread, body)};
 }
 
 LedgerServer::~LedgerServer()
@@ -110,12 +104,9 @@
     auto serving = server.listen(*listener).eagerlyEvaluate([](kj::Exception &&error) {
         LogLine("rpc_listener_failed", LogLevel::Error).add("error", error.getDescription().cStr());
     });
-    auto wakeups = io.lowLevelProvider->wrapInputFd(this->wakeup.descriptor(),
-                                                    kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    WakeupStream wakeups(io, this->wakeup);
     while (!this->stopping.load()) {
-        std::uint64_t count = 0;
-        wakeups->read(&count, sizeof count).wait(io.waitScope);
-        this->wakeup.clear();
+        wakeups.wait().wait(io.waitScope);
         while (auto reply = this->replies.tryPop()) {
             service.deliver(std::move(*reply));
         }
--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -199,6 +199,71 @@
     BOOST_TEST((empty.run() == CtlExit::Failed));
 }
 
+// Guards against a class shown without its state, a share that rounding lifts to its target, and
+// instances that are missing without notice.
+BOOST_AUTO_TEST_CASE(status_text_shows_which_targets_hold)
+{
+    const auto item = [](const std::string &name, const std::string &lastMinute) {
+        return R"({"name":")" + name + R"(","share":0.99,"answer_within_ms":50,"last_minute":)"
+            + lastMinute + "}";
+    };
+    const std::string body = R"({"version":3,"instances":[],"upstreams":[],"classes":[)"
+        + item("a", R"({"calls":200,"within_target":199,"state":"holds"})") + ","
+        + item("b", R"({"calls":100000,"within_target":98999,"state":"missed"})") + ","
+        + item("c", R"({"calls":0,"within_target":0,"state":"no calls"})")
+        + R"(],"asked_instances":3,"counted_ms_ago":2500,"not_counted":["i1","i2"]})";
+    Run run("status", "", {{200, body}});
+    BOOST_TEST((run.run() == CtlExit::Done));
+    BOOST_TEST(run.sender.sent[0].second.target == "/v1/status?calls=1");
+    BOOST_TEST(run.printed("a  99% within 50 ms  200 calls  99.50% within target  holds\n"));
+    BOOST_TEST(run.printed("b  99% within 50 ms  100000 calls  98.99% within target  missed\n"));
+    BOOST_TEST(run.printed("c  99% within 50 ms  no calls\n"));
+    BOOST_TEST(run.printed("not counted: 2 of 3 instances: i1, i2; counted 2 s ago\n"));
+}
+
+// Guards against archived entries that are missing, doubled or out of order, and against a history
+// that looks complete although a page could not be read.
+BOOST_AUTO_TEST_CASE(history_reads_archived_pages_up_to_the_limit)
+{
+    const auto answer = [](std::initializer_list<int> versions) {
+        std::string entries;
+        for (const int version : versions) {
+            const std::string number = std::to_string(version);
+            entries += (entries.empty() ? "" : ",")
+                + (R"({"time_ms":0,"from":0,"to":)" + number
+                   + R"(,"operator":"o","action":"a","write_id":"w)" + number + R"("})");
+        }
+        return R"({"version":9,"archived_pages":2,"entries":[)" + entries + "]}";
+    };
+    const auto printedIds = [](const Run &run) {
+        std::string ids;
+        const std::string text = run.output.str();
+        for (auto at = text.find("write id w"); at != std::string::npos;
+             at = text.find("write id w", at + 1)) {
+            ids += text[at + 10];
+        }
+        return ids;
+    };
+    Run all("history", "",
+            {{200, answer({5, 6})}, {200, answer({3, 4})}, {200, answer({1, 2, 3})}});
+    BOOST_TEST((all.run() == CtlExit::Done));
+    BOOST_TEST(printedIds(all) == "654321");
+    BOOST_TEST(all.sender.sent.at(1).second.target == "/v1/history?page=1");
+    BOOST_TEST(all.sender.sent.at(2).second.target == "/v1/history?page=0");
+    BOOST_TEST(!all.printed("older"));
+
+    Run some("history", "", {{200, answer({5, 6})}, {200, answer({3, 4})}});
+    some.options.limit = 3;
+    BOOST_TEST((some.run() == CtlExit::Done));
+    BOOST_TEST(printedIds(some) == "654");
+    BOOST_TEST(some.printed("there are older entries"));
+
+    Run broken("history", "", {{200, answer({5, 6})}, {503, "{}"}, {503, "{}"}});
+    BOOST_TEST((broken.run() == CtlExit::Failed));
+    BOOST_TEST(printedIds(broken) == "65");
+    BOOST_TEST(broken.printed("older entries could not be read"));
+}
+
 // Guards against a diff against nothing, and a base version that is not the one compared with.
 BOOST_AUTO_TEST_CASE(apply_uses_the_newest_version_as_base)
 {
