--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -2,7 +2,7 @@
 
 #include "http/beastmessage.h"
 #include "http/directtransfer.h"
-#include "http/pooledconnection.h"
+#include "http/idleconnections.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
@@ -13,8 +13,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <deque>
-#include <map>
 #include <optional>
 #include <thread>
 #include <unordered_map>
@@ -28,8 +26,6 @@
 
 namespace {
 
-/** Consecutive timeouts after which the idle connections of an endpoint are taken for silent. */
-constexpr unsigned MaxTimeouts = 2;
 /**
  * The dispatcher gives an attempt up at the same deadline and may be a little earlier; a
  * cancellation that close to the deadline is a timeout.
@@ -47,17 +43,13 @@
         : limits(limits)
         , work(asio::make_work_guard(context))
         , sweepTimer(context)
+        , idle(limits)
     {
     }
 
     class Exchange;
 
-    std::unique_ptr<PooledConnection> takeIdle(const Endpoint &endpoint, ConnectionUse use);
-    void putIdle(const Endpoint &endpoint, std::unique_ptr<PooledConnection> connection);
-    void noteTimeout(const Endpoint &endpoint);
-    void noteAnswer(const Endpoint &endpoint) { this->timeouts.erase(endpoint); }
     void scheduleSweep();
-    void sweep();
 
     ConnectionPoolLimits limits;
     std::atomic<std::size_t> connections{0};
@@ -65,8 +57,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work;
     asio::steady_timer sweepTimer;
     std::thread thread;
-    std::map<Endpoint, unsigned> timeouts; ///< since the last answer
-    std::map<Endpoint, std::deque<std::unique_ptr<PooledConnection>>> idle;
+    IdleConnections idle;
     std::unordered_map<AttemptId, std::shared_ptr<Exchange>> exchanges;
 };
 
@@ -115,69 +106,17 @@
     bool cancelled = false;
 };
 
-std::unique_ptr<PooledConnection> ConnectionPool::Implementation::takeIdle(const Endpoint &endpoint,
-                                                                           ConnectionUse use)
-{
-    auto &queue = this->idle[endpoint];
-    const TimePoint now = std::chrono::steady_clock::now();
-    while (!queue.empty()) {
-        // The most recently used connection is the least likely to be dead.
-        std::unique_ptr<PooledConnection> connection = std::move(queue.back());
-        queue.pop_back();
-        const Duration age = now - connection->lastUse;
-        if (age > this->limits.idleTimeout || !connection->isQuiet()) {
-            continue;
-        }
-        if (use == ConnectionUse::RecentlyUsed && age > this->limits.recentUse) {
-            queue.push_back(std::move(connection));
-            return nullptr;
-        }
-        return connection;
-    }
-    return nullptr;
-}
-
-void ConnectionPool::Implementation::putIdle(const Endpoint &endpoint,
-                                             std::unique_ptr<PooledConnection> connection)
-{
-    auto &queue = this->idle[endpoint];
-    connection->lastUse = std::chrono::steady_clock::now();
-    connection->setLimit(TimePoint::max());
-    queue.push_back(std::move(connection));
-    if (queue.size() > this->limits.idlePerEndpoint) {
-        queue.pop_front();
-    }
-}
-
-void ConnectionPool::Implementation::noteTimeout(const Endpoint &endpoint)
-{
-    if (++this->timeouts[endpoint] >= MaxTimeouts) {
-        this->idle.erase(endpoint);
-    }
-}
-
 void ConnectionPool::Implementation::scheduleSweep()
 {
     this->sweepTimer.expires_after(SweepPeriod);
     this->sweepTimer.async_wait([this](beast::error_code error) {
         if (!error) {
-            this->sweep();
+            this->idle.sweep();
             this->scheduleSweep();
         }
     });
 }
 
-void ConnectionPool::Implementation::sweep()
-{
-    const TimePoint oldest = std::chrono::steady_clock::now() - this->limits.idleTimeout;
-    for (auto &[endpoint, queue] : this->idle) {
-        std::erase_if(queue, [&](const std::unique_ptr<PooledConnection> &connection) {
-            return connection->lastUse < oldest || !connection->isQuiet();
-        });
-    }
-    std::erase_if(this->idle, [](const auto &entry) { return entry.second.empty(); });
-}
-
 void ConnectionPool::Implementation::Exchange::start()
 {
     this->pool->exchanges.emplace(this->id, this->shared_from_this());
@@ -186,7 +125,7 @@
         this->finish({});
         return;
     }
-    this->connection = this->pool->takeIdle(this->endpoint, this->use);
+    this->connection = this->pool->idle.take(this->endpoint, this->use);
     if (this->connection) {
         this->write();
     } else {
@@ -310,11 +249,11 @@
 void ConnectionPool::Implementation::Exchange::succeed()
 {
     BeastResponse response = this->parser->release();
-    this->pool->noteAnswer(this->endpoint);
+    this->pool->idle.noteAnswer(this->endpoint);
     // Bytes after the response would be taken for the answer of the next exchange.
     const bool reusable = response.keep_alive() && this->connection->buffer.size() == 0;
     if (reusable && !this->cancelled && !this->connection->isTimedOut()) {
-        this->pool->putIdle(this->endpoint, std::move(this->connection));
+        this->pool->idle.put(this->endpoint, std::move(this->connection));
     }
     this->finish({ExchangeStatus::Answered, fromBeastResponse(std::move(response))});
 }
@@ -334,7 +273,7 @@
     const bool atDeadline = std::chrono::steady_clock::now() + DeadlineTolerance >= this->deadline;
     if (result.status == ExchangeStatus::TimedOut
         || (result.status == ExchangeStatus::Cancelled && atDeadline)) {
-        this->pool->noteTimeout(this->endpoint);
+        this->pool->idle.noteTimeout(this->endpoint);
     }
     this->finish(std::move(result));
 }
@@ -391,7 +330,7 @@
 void ConnectionPool::dropIdle(const Endpoint &endpoint)
 {
     asio::post(this->implementation->context,
-               [raw = this->implementation.get(), endpoint] { raw->idle.erase(endpoint); });
+               [raw = this->implementation.get(), endpoint] { raw->idle.close(endpoint); });
 }
 
 std::size_t ConnectionPool::openConnections() const
@@ -405,7 +344,7 @@
         return;
     }
     asio::post(this->implementation->context, [raw = this->implementation.get()] {
-        raw->idle.clear();
+        raw->idle.closeAll();
         raw->sweepTimer.cancel();
         const auto running = raw->exchanges;
         for (const auto &[id, exchange] : running) {
