--- a/src/entry/callmetrics.cpp
+++ b/src/entry/callmetrics.cpp
@@ -6,25 +6,6 @@
 
 namespace {
 
-std::string_view statusName(AttemptStatus status)
-{
-    switch (status) {
-    case AttemptStatus::Answered:
-        return "answered";
-    case AttemptStatus::NotStarted:
-        return "not-started";
-    case AttemptStatus::NotSent:
-        return "not-sent";
-    case AttemptStatus::Failed:
-        return "failed";
-    case AttemptStatus::TimedOut:
-        return "timed-out";
-    case AttemptStatus::Cancelled:
-        return "cancelled";
-    }
-    return "failed";
-}
-
 /** One call that ended in the given way. */
 CallCounts countOf(Outcome outcome, bool inTime)
 {
@@ -75,7 +56,7 @@
     const Running &attempt = found->second;
     AttemptMeasured measured;
     measured.upstream = attempt.upstream;
-    measured.status = statusName(report.status);
+    measured.status = attemptStatusName(report.status);
     measured.latency = this->clock.now() - attempt.start;
     measured.retry = attempt.retry;
     measured.hedge = attempt.hedge;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -36,7 +36,7 @@
     , callers(given.callers, HttpLimits{}, callerPort)
     , ledgerServer(given.ledger, questionRing)
     , ledgerClient(resultRing)
-    , upstreams(ConnectionPoolLimits{}, attemptRing, probeRing)
+    , upstreams(ConnectionPoolLimits{}, attemptRing, probeRing, protocol)
     , incarnation(firstIncarnation())
     , control(this->initialStatus(incarnation), wakeup, statusChanged)
     , decisions(this->decisionOptions(incarnation),
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -68,6 +68,7 @@
     HttpServer callers;
     LedgerServer ledgerServer;
     LedgerClient ledgerClient;
+    OwnUpstreamProtocol protocol;
     UpstreamPort upstreams;
     Incarnation incarnation;
     ControlInbox control;
--- a/src/entry/upstreamport.h
+++ b/src/entry/upstreamport.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_ENTRY_UPSTREAMPORT_H
 
 #include "base/eventring.h"
+#include "entry/upstreamprotocol.h"
 #include "http/connectionpool.h"
 #include "routing/dispatcheroutput.h"
 
@@ -20,6 +21,7 @@
 {
     UpstreamId upstream;
     bool healthy = false;
+    std::optional<LoadReport> load; ///< if the upstream answered with it
 };
 
 /** Sends attempts and probes to upstreams and reports their ends. */
@@ -27,7 +29,7 @@
 {
 public:
     UpstreamPort(const ConnectionPoolLimits &limits, EventRing<AttemptEvent> &ring,
-                 EventRing<ProbeEvent> &probeRing);
+                 EventRing<ProbeEvent> &probeRing, const UpstreamProtocol &protocol);
 
     /** Sends @p request as the attempt @p order describes. */
     void send(const AttemptOrder &order, const HttpRequest &request);
@@ -40,13 +42,11 @@
 private:
     EventRing<AttemptEvent> &ring;
     EventRing<ProbeEvent> &probeRing;
+    const UpstreamProtocol &protocol;
     std::uint64_t lastProbe = 0;
     ConnectionPool pool;
 };
 
-/** Reads what an upstream's response says about the attempt and the upstream. */
-AttemptReport makeAttemptReport(const ExchangeResult &result);
-
 } // namespace bronzeshed
 
 #endif
--- /dev/null
+++ b/src/gateway/calllog.cpp
@@ -0,0 +1,89 @@
+#include "gateway/calllog.h"
+
+#include "base/logline.h"
+
+namespace bronzeshed {
+
+namespace {
+
+/** Three lines for each of 100 calls/s, a few times the load of an instance. */
+constexpr double LinesPerSecond = 300;
+constexpr double BurstLines = 600;
+
+double toMilliseconds(Duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+CallLog::CallLog(const Clock &clock)
+    : clock(clock)
+    , lines(LinesPerSecond, BurstLines, clock.now())
+{
+}
+
+bool CallLog::mayLog()
+{
+    if (!this->lines.has(1, this->clock.now())) {
+        ++this->dropped;
+        return false;
+    }
+    this->lines.take(1);
+    if (this->dropped > 0) {
+        LogLine("log_lines_dropped", LogLevel::Warning).add("count", this->dropped);
+        this->dropped = 0;
+    }
+    return true;
+}
+
+void CallLog::attemptStarted(const RequestId &id, const AttemptOrder &order)
+{
+    if (!this->mayLog()) {
+        return;
+    }
+    LogLine line("attempt_started");
+    line.add("request_id", id.value())
+        .add("attempt", order.attempt.value())
+        .add("upstream", order.upstream.id.value())
+        .add("timeout_ms", toMilliseconds(order.timeout))
+        .add("retry", order.retry)
+        .add("hedge", order.hedge);
+    if (order.load) {
+        line.add("running", order.load->running)
+            .add("waiting", order.load->waiting)
+            .add("work_time_percent", order.load->workTimePercent)
+            .add("load_age_ms", toMilliseconds(order.loadAge));
+    }
+}
+
+void CallLog::attemptEnded(const RequestId &id, AttemptId attempt, const AttemptReport &report)
+{
+    if (report.isSuccess() || !this->mayLog()) {
+        return;
+    }
+    LogLine("attempt_failed", LogLevel::Warning)
+        .add("request_id", id.value())
+        .add("attempt", attempt.value())
+        .add("status", attemptStatusName(report.status))
+        .add("http_status", report.httpStatus)
+        .add("leaving", report.draining);
+}
+
+void CallLog::callFinished(const FinishedCall &call)
+{
+    if (!this->mayLog()) {
+        return;
+    }
+    LogLine("call_finished")
+        .add("request_id", call.id.value())
+        .add("class", call.className.value())
+        .add("outcome", outcomeName(call.outcome))
+        .add("reason", reasonName(call.reason))
+        .add("status", call.status)
+        .add("attempts", call.attempts)
+        .add("latency_ms", toMilliseconds(call.latency))
+        .add("config_version", call.version.value());
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/gateway/gatewayloop.cpp
@@ -0,0 +1,254 @@
+#include "gateway/gatewayloop.h"
+
+#include "base/logline.h"
+#include "entry/callresponse.h"
+#include "platform/wireheaders.h"
+#include "routing/sharedupstreampolicy.h"
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::chrono::milliseconds MaxSleep{1000};
+/** Events taken from one ring before the others are looked at. */
+constexpr unsigned MaxBatch = 256;
+/** A slot of a full service becomes free about this often. */
+constexpr std::chrono::milliseconds RetryDelay{50};
+/** An instance that stops or has no configuration yet is not the one to come back to at once. */
+constexpr std::chrono::milliseconds UnavailableDelay{100};
+
+std::chrono::milliseconds retryDelay(Reason reason)
+{
+    const bool unavailable = reason == Reason::NoConfiguration || reason == Reason::Draining;
+    return unavailable ? UnavailableDelay : RetryDelay;
+}
+
+} // namespace
+
+GatewayLoop::GatewayLoop(const GatewayLoopOptions &options, const GatewayPorts &ports)
+    : options(options)
+    , ports(ports)
+    , random(makeSystemRandom())
+    , dispatcher(this->clock, this->random, this->timers, *this,
+                 std::make_unique<SharedUpstreamPolicy>(this->clock), options.dispatcher)
+    , metrics(ports.metrics, this->clock, options.dispatcher.region)
+    , log(this->clock)
+{
+}
+
+template<typename Event, typename Handler>
+bool GatewayLoop::takeEvents(EventRing<Event> &ring, Handler handle)
+{
+    for (unsigned i = 0; i < MaxBatch; ++i) {
+        auto event = ring.tryPop();
+        if (!event) {
+            return i > 0;
+        }
+        handle(std::move(*event));
+    }
+    return true;
+}
+
+void GatewayLoop::run()
+{
+    while (!this->stopping.load()) {
+        this->takeState();
+        this->timers.fire(this->clock.now());
+        bool busy = this->takeEvents(this->ports.attempts, [this](AttemptEvent event) {
+            this->handleAttempt(std::move(event));
+        });
+        busy |= this->takeEvents(this->ports.probes,
+                                 [this](const ProbeEvent &event) { this->handleProbe(event); });
+        busy |= this->takeEvents(this->ports.callers, [this](CallerEvent event) {
+            this->handleCaller(std::move(event));
+        });
+        busy |= this->takeEvents(this->ports.departures,
+                                 [this](CallId id) { this->dispatcher.callerLeft(id); });
+        this->open.store(this->calls.size());
+        if (busy) {
+            continue;
+        }
+        const TimePoint now = this->clock.now();
+        const TimePoint wakeAt = this->timers.nextDue().value_or(now + MaxSleep);
+        this->ports.wakeup.wait(std::min<Duration>(wakeAt - now, MaxSleep));
+    }
+}
+
+void GatewayLoop::stop()
+{
+    this->stopping.store(true);
+    this->ports.wakeup.notify();
+}
+
+void GatewayLoop::setState(FleetState newState)
+{
+    {
+        const std::lock_guard lock(this->mailboxMutex);
+        this->mailbox = std::move(newState);
+    }
+    this->ports.wakeup.notify();
+}
+
+void GatewayLoop::takeState()
+{
+    std::optional<FleetState> newer;
+    {
+        const std::lock_guard lock(this->mailboxMutex);
+        newer = std::exchange(this->mailbox, std::nullopt);
+    }
+    if (!newer) {
+        return;
+    }
+    const bool newVersion = newer->version != this->state.version;
+    if (newVersion) {
+        LogLine("configuration_in_force")
+            .add("from", this->state.version.value())
+            .add("to", newer->version.value());
+    }
+    this->state = std::move(*newer);
+    if (!this->state.declaration) {
+        return;
+    }
+    if (newVersion) {
+        this->metrics.declarationChanged(*this->state.declaration);
+    }
+    const double entries = std::max<double>(1, static_cast<double>(this->state.members.size()));
+    this->dispatcher.setRepeatBurst(std::max(1.0, this->options.fleetRepeatBurst / entries));
+    this->dispatcher.update(*this->state.declaration, this->state.upstreams);
+    this->configured.store(true);
+}
+
+void GatewayLoop::handleCaller(CallerEvent event)
+{
+    const CallerHeaders wire = readCallerHeaders(event.request);
+    CallHeaders headers;
+    headers.requestId = wire.requestId;
+    if (!this->state.declaration) {
+        this->refuse(event, headers, Outcome::NotRun, Reason::NoConfiguration);
+        return;
+    }
+    const ClassName *route = this->state.declaration->routes.find(
+        event.request.headers.find("Host").value_or(""), event.request.path());
+    if (route == nullptr) {
+        this->refuse(event, headers, Outcome::Invalid, Reason::UnknownClass);
+        return;
+    }
+    headers.className = *route;
+    if (headers.requestId.isEmpty()) {
+        this->refuse(event, headers, Outcome::Invalid, Reason::MissingIdentity);
+        return;
+    }
+    if (this->refusing.load()) {
+        this->refuse(event, headers, Outcome::NotRun, Reason::Draining);
+        return;
+    }
+    const ClassTarget *target = this->findTarget(*route);
+    const Duration limit
+        = wire.timeLeft ? std::min(*wire.timeLeft, target->deadline) : target->deadline;
+    CallRequest request;
+    request.id = event.id;
+    request.className = *route;
+    request.timeLeft = limit - (this->clock.now() - event.arrival);
+    OpenCall call;
+    call.headers = std::move(headers);
+    call.arrival = event.arrival;
+    call.request = std::move(event.request);
+    call.exchange = std::move(event.exchange);
+    this->calls.emplace(request.id, std::move(call));
+    this->dispatcher.admit(request);
+}
+
+void GatewayLoop::handleAttempt(AttemptEvent event)
+{
+    this->metrics.attemptEnded(event.attempt, event.report, event.response.body.size());
+    const auto call = this->callOfAttempt.extract(event.attempt);
+    const auto found = call.empty() ? this->calls.end() : this->calls.find(call.mapped());
+    if (found != this->calls.end()) {
+        this->log.attemptEnded(found->second.headers.requestId, event.attempt, event.report);
+    }
+    this->winningResponse = std::move(event.response);
+    this->dispatcher.attemptEnded(event.attempt, event.report);
+    this->winningResponse = {};
+}
+
+void GatewayLoop::handleProbe(const ProbeEvent &event)
+{
+    this->dispatcher.probeEnded(event.upstream, event.healthy, event.load);
+}
+
+void GatewayLoop::startAttempt(const AttemptOrder &order)
+{
+    OpenCall &call = this->calls.at(order.call);
+    ++call.attempts;
+    this->callOfAttempt.emplace(order.attempt, order.call);
+    this->log.attemptStarted(call.headers.requestId, order);
+    addAttemptHeaders(call.request, order.upstream.id, order.timeout);
+    this->metrics.attemptStarted(order, call.request.body.size());
+    this->ports.upstreams.send(order, call.request);
+}
+
+void GatewayLoop::cancelAttempt(AttemptId id)
+{
+    this->ports.upstreams.cancel(id);
+}
+
+void GatewayLoop::finishCall(CallId id, Outcome outcome, Reason reason, AttemptId /*winner*/)
+{
+    const auto found = this->calls.find(id);
+    const OpenCall call = std::move(found->second);
+    this->calls.erase(found);
+    HttpResponse response;
+    if (outcome == Outcome::Answered) {
+        response = std::move(this->winningResponse);
+        removeUpstreamHeaders(response);
+    } else {
+        response = makeRefusal(outcome, reason);
+    }
+    this->finish(call.headers, call.arrival, call.attempts, outcome, reason, *call.exchange,
+                 std::move(response));
+}
+
+void GatewayLoop::refuse(const CallerEvent &event, const CallHeaders &headers, Outcome outcome,
+                         Reason reason)
+{
+    this->finish(headers, event.arrival, 0, outcome, reason, *event.exchange,
+                 makeRefusal(outcome, reason));
+}
+
+void GatewayLoop::finish(const CallHeaders &headers, TimePoint arrival, unsigned attempts,
+                         Outcome outcome, Reason reason, HttpExchange &exchange,
+                         HttpResponse response)
+{
+    if (outcome == Outcome::NotRun) {
+        addRetryAfter(response, retryDelay(reason));
+    }
+    this->metrics.callFinished(headers, this->findTarget(headers.className), arrival, outcome,
+                               reason);
+    this->log.callFinished({headers.requestId, headers.className, outcome, reason, response.status,
+                            attempts, this->clock.now() - arrival, this->state.version});
+    exchange.respond(std::move(response));
+}
+
+bool GatewayLoop::startProbe(const ProbeOrder &order)
+{
+    ProbeOrder located = order;
+    const auto &traits = this->state.declaration->traits;
+    const auto found = traits.find(order.upstream.service);
+    if (found != traits.end()) {
+        located.path = found->second.healthPath;
+    }
+    this->metrics.probeSent(order.upstream.id, this->ports.upstreams.probe(located));
+    return true;
+}
+
+const ClassTarget *GatewayLoop::findTarget(const ClassName &name) const
+{
+    if (!this->state.declaration) {
+        return nullptr;
+    }
+    const auto &classes = this->state.declaration->classes;
+    const auto found = classes.find(name);
+    return found == classes.end() ? nullptr : &found->second;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/gateway/gatewayprocess.h
@@ -0,0 +1,100 @@
+#ifndef BRONZESHED_GATEWAY_GATEWAYPROCESS_H
+#define BRONZESHED_GATEWAY_GATEWAYPROCESS_H
+
+#include "base/program.h"
+#include "gateway/gatewayloop.h"
+#include "gateway/registrar.h"
+#include "gateway/storefollower.h"
+#include "metrics/adminport.h"
+#include "platform/wireheaders.h"
+
+#include <memory>
+#include <thread>
+
+namespace bronzeshed {
+
+/** Settings of the gateway process. */
+struct GatewayOptions
+{
+    InstanceId instance;
+    RegionName region;
+    ZoneName zone;
+    ZoneRegions regions;
+    Endpoint callers;
+    Endpoint readiness;
+    Endpoint lookups;
+    Endpoint peers; ///< where other entries read this entry's copy of the store
+    Endpoint admin;
+    Endpoint store;
+    std::vector<Endpoint> seeds;
+    std::chrono::seconds lookupValidity{2};
+    std::chrono::milliseconds grace{6000}; ///< from the stop signal to the kill
+    double fleetRepeatBurst = 0;
+    unsigned loadQueries = 3;
+};
+
+/**
+ * One process of the fleet on the users' platform: serves callers, tells them which entries to use
+ * and follows the metadata store.
+ */
+class GatewayProcess : private PublicSource, private AdminSource
+{
+public:
+    explicit GatewayProcess(const GatewayOptions &options);
+    ~GatewayProcess() override;
+    GatewayProcess(const GatewayProcess &) = delete;
+    GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+    Endpoint callerEndpoint() const { return this->callers.localEndpoint(); }
+    Endpoint lookupEndpoint() const { return this->lookups.localEndpoint(); }
+    Endpoint readinessEndpoint() const { return this->readiness.localEndpoint(); }
+    Endpoint adminEndpoint() const { return this->admin.localEndpoint(); }
+
+    /** Regular work of the main thread, a few times a second. */
+    void tick();
+    /** Leaves the fleet, serves until others have taken over, and finishes what is in flight. */
+    void drain(SignalMonitor &signals);
+
+private:
+    LookupAnswer lookup(const RegionName &region, const ZoneName &zone) override;
+    bool isReady() override;
+    std::string metricsText() override;
+    std::string notReadyReason() override;
+
+    GatewayLoopOptions loopOptions() const;
+    Member self() const;
+    void takeState(FleetState state);
+
+    GatewayOptions options;
+    Wakeup wakeup;
+    EventRing<CallerEvent> callerRing;
+    EventRing<CallId> departureRing;
+    EventRing<AttemptEvent> attemptRing;
+    EventRing<ProbeEvent> probeRing;
+    MetricsHub metrics;
+    CallerPort callerPort;
+    HttpServer callers;
+    PlatformUpstreamProtocol protocol;
+    UpstreamPort upstreams;
+    GatewayLoop loop;
+    std::thread loopThread;
+    std::atomic<bool> draining{false};
+    std::mutex membersMutex;
+    std::vector<Member> members;
+    CallerLimits limitsInForce;
+    StoreHealth health;
+    Registrar registrar;
+    StoreFollower follower;
+    LookupPort lookupPort;
+    HttpServer lookups;
+    ReadinessPort readinessPort;
+    HttpServer readiness;
+    SnapshotPort snapshotPort;
+    HttpServer peers;
+    AdminPort adminPort;
+    HttpServer admin;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/gateway/main.cpp
@@ -0,0 +1,121 @@
+#include "base/error.h"
+#include "base/logline.h"
+#include "gateway/gatewayprocess.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{500};
+constexpr std::uint64_t MaxGraceMs = 600000;
+constexpr std::uint64_t MaxLookupValidityS = 60;
+constexpr std::uint64_t MaxLoadQueries = 16;
+constexpr std::uint64_t MaxRepeatBurst = 100000;
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::size_t start = 0;
+    while (start < text.size()) {
+        const std::size_t end = std::min(text.find(',', start), text.size());
+        parts.push_back(text.substr(start, end - start));
+        start = end + 1;
+    }
+    return parts;
+}
+
+/** Reads "zone=region,zone=region". */
+ZoneRegions readZones(const std::string &text)
+{
+    ZoneRegions regions;
+    for (const std::string &part : splitList(text)) {
+        const auto equals = part.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            throw SettingsError("flag --zones: '" + part + "' is not zone=region",
+                                "list all zones as zone=region,zone=region");
+        }
+        regions[ZoneName(part.substr(0, equals))] = RegionName(part.substr(equals + 1));
+    }
+    return regions;
+}
+
+GatewayOptions readOptions(const Settings &settings)
+{
+    GatewayOptions options;
+    options.instance = InstanceId(settings.text("instance"));
+    options.region = RegionName(settings.text("region"));
+    options.zone = ZoneName(settings.text("zone"));
+    options.regions = readZones(settings.text("zones"));
+    options.callers = settings.endpoint("listen");
+    options.readiness = settings.endpoint("ready-listen");
+    options.lookups = settings.endpoint("lookup-listen");
+    options.peers = settings.endpoint("peer-listen");
+    options.admin = settings.endpoint("admin-listen");
+    options.store = settings.endpoint("store");
+    for (const std::string &seed : splitList(settings.text("seeds"))) {
+        options.seeds.push_back(parseEndpoint(seed, "flag --seeds"));
+    }
+    options.lookupValidity
+        = std::chrono::seconds(settings.number("lookup-validity-s", 1, MaxLookupValidityS));
+    options.grace = settings.milliseconds("grace-ms", 1, MaxGraceMs);
+    options.fleetRepeatBurst
+        = static_cast<double>(settings.number("repeat-burst", 0, MaxRepeatBurst));
+    options.loadQueries = static_cast<unsigned>(settings.number("load-queries", 0, MaxLoadQueries));
+    return options;
+}
+
+void checkSettings(const Settings &settings)
+{
+    readOptions(settings);
+}
+
+int runGateway(const Settings &settings)
+{
+    // The settings are read at the start only; without this the signal would end the process.
+    std::signal(SIGHUP, SIG_IGN);
+    SignalMonitor signals;
+    GatewayProcess gateway(readOptions(settings));
+    LogLine("started")
+        .add("instance", settings.text("instance"))
+        .add("callers", gateway.callerEndpoint().toString())
+        .add("lookups", gateway.lookupEndpoint().toString())
+        .add("readiness", gateway.readinessEndpoint().toString())
+        .add("admin", gateway.adminEndpoint().toString());
+    while (signals.wait(TickPeriod) == StopRequest::None) {
+        gateway.tick();
+    }
+    gateway.drain(signals);
+    LogLine("stopped").add("instance", settings.text("instance"));
+    return 0;
+}
+
+} // namespace
+
+} // namespace bronzeshed
+
+int main(int argc, char **argv)
+{
+    using namespace bronzeshed;
+    const std::vector<SettingSpec> specs{
+        {"instance", "", "name of this instance", true},
+        {"region", "", "region of this instance", true},
+        {"zone", "", "availability zone of this instance", true},
+        {"zones", "", "all zones with their regions: zone=region,zone=region", true},
+        {"listen", "", "address where callers connect", true},
+        {"ready-listen", "", "address of the platform's readiness check", true},
+        {"lookup-listen", "", "address where callers ask which entries to use", true},
+        {"peer-listen", "", "address where other entries read the copy of the store", true},
+        {"admin-listen", "127.0.0.1:0", "address of metrics, health and readiness"},
+        {"store", "", "address of the platform's metadata store", true},
+        {"seeds", "", "peer addresses of some entries: address,address"},
+        {"lookup-validity-s", "2", "how long callers keep an answer, in seconds"},
+        {"grace-ms", "6000", "time from the stop signal to the kill"},
+        {"repeat-burst", "50", "extra attempts of the fleet that may follow each other"},
+        {"load-queries", "3", "upstreams asked for their load before a call is placed"},
+    };
+    Settings settings("bronzeshed-gateway", "Serves callers on the users' platform.", specs);
+    return runProgram(argc, argv, settings, checkSettings, runGateway);
+}
--- /dev/null
+++ b/src/gateway/registrar.cpp
@@ -0,0 +1,103 @@
+#include "gateway/registrar.h"
+
+#include "base/error.h"
+#include "base/logline.h"
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr std::chrono::milliseconds StoreTimeout{1000};
+/** Callers are sent to an entry at most this long after it died. */
+constexpr std::chrono::milliseconds LeaseTime{3000};
+/** Two renewals may fail before the lease ends. */
+constexpr std::chrono::milliseconds RenewPeriod{1000};
+/** The watch shows a registration only some time after it was written. */
+constexpr std::chrono::seconds SettleTime{2};
+
+} // namespace
+
+Registrar::Registrar(const Endpoint &store, Member self, StoreHealth &health)
+    : self(std::move(self))
+    , health(health)
+    , store(store, StoreTimeout)
+    , thread([this] { this->run(); })
+{
+}
+
+Registrar::~Registrar()
+{
+    this->leave();
+}
+
+void Registrar::registrationMissing()
+{
+    this->missing.store(true);
+}
+
+void Registrar::leave()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->changed.notify_all();
+    if (!this->thread.joinable()) {
+        return;
+    }
+    this->thread.join();
+    if (this->lease.value() == 0) {
+        return;
+    }
+    try {
+        this->store.endLease(this->lease);
+    } catch (const Error &error) {
+        // The lease ends by itself.
+        LogLine("deregistration_failed", LogLevel::Warning).add("error", error.what());
+    }
+}
+
+void Registrar::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping) {
+        lock.unlock();
+        try {
+            this->step();
+            this->health.succeeded(std::chrono::steady_clock::now());
+        } catch (const Error &error) {
+            this->health.failed(error.what(), std::chrono::steady_clock::now());
+        }
+        lock.lock();
+        this->changed.wait_for(lock, RenewPeriod, [this] { return this->stopping; });
+    }
+}
+
+void Registrar::step()
+{
+    const bool settled = std::chrono::steady_clock::now() - this->registeredAt >= SettleTime;
+    if (this->lease.value() == 0 || (this->missing.load() && settled)) {
+        this->registerAnew();
+    } else if (!this->store.renewLease(this->lease)) {
+        LogLine("lease_lost", LogLevel::Warning).add("lease", this->lease.value());
+        this->lease = LeaseId();
+        this->registerAnew();
+    }
+}
+
+void Registrar::registerAnew()
+{
+    if (this->lease.value() == 0) {
+        this->lease = this->store.grantLease(LeaseTime);
+    }
+    const std::string key = std::string(MemberPrefix) + this->self.id.value();
+    if (!this->store.put(key, encodeMember(this->self), this->lease)) {
+        this->lease = LeaseId();
+        return;
+    }
+    this->missing.store(false);
+    this->registeredAt = std::chrono::steady_clock::now();
+    LogLine("registered").add("lease", this->lease.value());
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/gateway/registrar.h
@@ -0,0 +1,51 @@
+#ifndef BRONZESHED_GATEWAY_REGISTRAR_H
+#define BRONZESHED_GATEWAY_REGISTRAR_H
+
+#include "gateway/registry.h"
+#include "gateway/storehealth.h"
+#include "platform/httpmetadatastore.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace bronzeshed {
+
+/**
+ * Keeps this entry registered in the store under a lease, on a thread of its own. Its renewals
+ * also tell whether the store is reachable.
+ */
+class Registrar
+{
+public:
+    Registrar(const Endpoint &store, Member self, StoreHealth &health);
+    ~Registrar();
+    Registrar(const Registrar &) = delete;
+    Registrar &operator=(const Registrar &) = delete;
+
+    /** The registration is missing in the store; it is written again. Thread-safe. */
+    void registrationMissing();
+    /** Ends the registration and the thread. */
+    void leave();
+
+private:
+    void run();
+    void step();
+    void registerAnew();
+
+    Member self;
+    StoreHealth &health;
+    HttpMetadataStore store;
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool stopping = false;
+    std::atomic<bool> missing{true};
+    TimePoint registeredAt;
+    LeaseId lease; ///< 0 if there is none
+    std::thread thread;
+};
+
+} // namespace bronzeshed
+
+#endif
--- /dev/null
+++ b/src/gateway/storehealth.cpp
@@ -0,0 +1,43 @@
+#include "gateway/storehealth.h"
+
+#include "base/logline.h"
+
+namespace bronzeshed {
+
+void StoreHealth::succeeded(TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->reachable) {
+        return;
+    }
+    this->reachable = true;
+    const Duration silence = now - this->lastFailure;
+    LogLine("store_regained")
+        .add("since_last_failure_ms",
+             std::chrono::duration_cast<std::chrono::milliseconds>(silence).count());
+}
+
+void StoreHealth::failed(const std::string &error, TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->reachable) {
+        LogLine("store_lost", LogLevel::Warning).add("error", error);
+    }
+    this->reachable = false;
+    this->everFailed = true;
+    this->lastFailure = now;
+}
+
+bool StoreHealth::isReachable() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->reachable;
+}
+
+bool StoreHealth::failedWithin(Duration span, TimePoint now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->everFailed && now - this->lastFailure <= span;
+}
+
+} // namespace bronzeshed
--- a/src/http/beastmessage.cpp
+++ b/src/http/beastmessage.cpp
@@ -67,7 +67,7 @@
     message.method_string(request.method);
     message.target(request.target);
     // The first of the fields, as RFC 9110, 7.2 advises.
-    message.set(http::field::host, host);
+    message.set(http::field::host, request.authority.empty() ? host : request.authority);
     copyFields(request.headers, message, "Host");
     message.keep_alive(keepAlive);
     message.body() = request.body;
--- a/src/http/beastmessage.h
+++ b/src/http/beastmessage.h
@@ -13,6 +13,7 @@
 /**
  * A request as it goes over the wire; for adapter sources only, since this header pulls in Beast.
  * It is one string, so that one send() takes it.
+ * @param host value of the Host header if the request names no authority
  */
 std::string formatRequest(const HttpRequest &request, const std::string &host, bool keepAlive);
 
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include "http/connectionpool.h"
 
+#include "base/parsenumber.h"
 #include "http/beastmessage.h"
 #include "http/directtransfer.h"
 #include "http/idleconnections.h"
@@ -14,6 +15,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <string_view>
 #include <thread>
 #include <unordered_map>
 
@@ -33,6 +35,20 @@
 constexpr std::chrono::milliseconds DeadlineTolerance{20};
 constexpr std::chrono::seconds SweepPeriod{5};
 constexpr std::size_t ReadChunkBytes = 4096;
+/** A server that sends more stray responses than this on one connection is out of step. */
+constexpr unsigned MaxSkipped = 3;
+
+/** Value of the parameter "timeout" of a Keep-Alive header. */
+std::optional<std::uint64_t> keepAliveSeconds(std::string_view header)
+{
+    constexpr std::string_view Name = "timeout=";
+    const auto start = header.find(Name);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    header.remove_prefix(start + Name.size());
+    return parseNumber(header.substr(0, header.find_first_not_of("0123456789")));
+}
 
 } // namespace
 
@@ -66,13 +82,15 @@
 {
 public:
     Exchange(std::shared_ptr<Implementation> pool, AttemptId id, Endpoint endpoint,
-             const HttpRequest &request, ConnectionUse use, TimePoint deadline, Callback callback)
+             const HttpRequest &request, ConnectionUse use, TimePoint deadline, Callback callback,
+             ResponseRules rules)
         : pool(std::move(pool))
         , id(id)
         , endpoint(std::move(endpoint))
         , use(use)
         , deadline(deadline)
         , callback(std::move(callback))
+        , rules(std::move(rules))
         , headOnly(request.method == "HEAD")
         , message(formatRequest(request, this->endpoint.toString(), true))
     {
@@ -89,6 +107,9 @@
     void handleHeader();
     void readBody();
     void succeed();
+    bool answersEarlierRequest() const;
+    void skipResponse();
+    void keepConnection();
     void fail();
     void finish(ExchangeResult result);
 
@@ -98,12 +119,14 @@
     ConnectionUse use;
     TimePoint deadline;
     Callback callback;
+    ResponseRules rules;
     bool headOnly;
     std::string message; ///< as it goes over the wire
     std::optional<http::response_parser<http::string_body>> parser;
     std::unique_ptr<PooledConnection> connection;
     bool writing = false;
     bool cancelled = false;
+    unsigned skipped = 0; ///< responses that answer earlier requests
 };
 
 void ConnectionPool::Implementation::scheduleSweep()
@@ -222,7 +245,8 @@
         this->readHeader();
         return;
     }
-    if (status == SwitchingProtocols || this->parser->need_eof()) {
+    const bool untilClose = this->parser->need_eof();
+    if (status == SwitchingProtocols || (untilClose && !this->rules.acceptUntilClose)) {
         // Without a length or chunks, a truncated response looks whole.
         this->fail();
         return;
@@ -248,14 +272,53 @@
 
 void ConnectionPool::Implementation::Exchange::succeed()
 {
-    BeastResponse response = this->parser->release();
+    if (this->answersEarlierRequest()) {
+        this->skipResponse();
+        return;
+    }
     this->pool->idle.noteAnswer(this->endpoint);
+    this->keepConnection();
+    this->finish({ExchangeStatus::Answered, fromBeastResponse(this->parser->release())});
+}
+
+bool ConnectionPool::Implementation::Exchange::answersEarlierRequest() const
+{
+    if (this->rules.echoHeader.empty()) {
+        return false;
+    }
+    const auto &fields = this->parser->get();
+    const auto echo = fields.find(this->rules.echoHeader);
+    return echo != fields.end() && echo->value() != this->rules.echoValue;
+}
+
+void ConnectionPool::Implementation::Exchange::skipResponse()
+{
+    ++this->skipped;
+    if (this->skipped > MaxSkipped || !this->parser->keep_alive()) {
+        this->fail();
+        return;
+    }
+    if (this->connection->buffer.size() > 0) {
+        this->readHeader();
+    } else {
+        this->startReading();
+    }
+}
+
+void ConnectionPool::Implementation::Exchange::keepConnection()
+{
     // Bytes after the response would be taken for the answer of the next exchange.
-    const bool reusable = response.keep_alive() && this->connection->buffer.size() == 0;
-    if (reusable && !this->cancelled && !this->connection->isTimedOut()) {
-        this->pool->idle.put(this->endpoint, std::move(this->connection));
+    const bool reusable
+        = this->parser->keep_alive() && this->connection->buffer.size() == 0 && this->skipped == 0;
+    if (!reusable || this->cancelled || this->connection->isTimedOut()) {
+        return;
+    }
+    const auto seconds = keepAliveSeconds(this->parser->get()["Keep-Alive"]);
+    if (seconds) {
+        this->connection->idleLimit
+            = std::chrono::seconds(*seconds) - this->pool->limits.keepAliveMargin;
     }
-    this->finish({ExchangeStatus::Answered, fromBeastResponse(std::move(response))});
+    this->pool->idle.put(this->endpoint, std::move(this->connection));
 }
 
 void ConnectionPool::Implementation::Exchange::fail()
@@ -309,11 +372,13 @@
 }
 
 void ConnectionPool::send(AttemptId id, const Endpoint &endpoint, const HttpRequest &request,
-                          ConnectionUse use, Duration timeout, Callback callback)
+                          ConnectionUse use, Duration timeout, Callback callback,
+                          ResponseRules rules)
 {
     const TimePoint deadline = std::chrono::steady_clock::now() + timeout;
     auto exchange = std::make_shared<Implementation::Exchange>(
-        this->implementation, id, endpoint, request, use, deadline, std::move(callback));
+        this->implementation, id, endpoint, request, use, deadline, std::move(callback),
+        std::move(rules));
     asio::post(this->implementation->context, [exchange] { exchange->start(); });
 }
 
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace bronzeshed {
 
@@ -32,6 +33,16 @@
     RecentlyUsed, ///< an idle connection only if it was used within the last second
 };
 
+/** Which responses answer a request. */
+struct ResponseRules
+{
+    /** A response with another value of this header is skipped: it answers an earlier request. */
+    std::string echoHeader;
+    std::string echoValue;
+    /** Takes a response without a length as complete when the server closes in good order. */
+    bool acceptUntilClose = false;
+};
+
 /** Bounds of a connection pool. */
 struct ConnectionPoolLimits
 {
@@ -41,6 +52,8 @@
     /** Older idle connections may have been dropped silently by something in between. */
     std::chrono::milliseconds recentUse{1000};
     std::size_t bodyBytes = 1024 * 1024;
+    /** Margin before the time at which the server closes an idle connection, if it states one. */
+    std::chrono::milliseconds keepAliveMargin{1000};
 };
 
 /**
@@ -59,7 +72,7 @@
 
     /** Starts an exchange. Thread-safe. The callback is called exactly once. */
     void send(AttemptId id, const Endpoint &endpoint, const HttpRequest &request, ConnectionUse use,
-              Duration timeout, Callback callback);
+              Duration timeout, Callback callback, ResponseRules rules = {});
 
     /** Closes the connection of an exchange that is in progress. Thread-safe. */
     void cancel(AttemptId id);
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "http/httpclient.h"
 
 #include "http/beastmessage.h"
+#include "http/silentpeer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -60,6 +61,7 @@
     stream.async_connect(address, store);
     await(context, error, "cannot connect to " + endpoint.toString(), false);
 
+    detectSilentPeer(stream.socket().native_handle());
     const std::string message = formatRequest(request, endpoint.toString(), false);
     asio::async_write(stream, asio::buffer(message), store);
     await(context, error, "cannot send to " + endpoint.toString(), true);
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -36,6 +36,7 @@
     std::string target = "/";
     HttpHeaders headers;
     std::string body;
+    std::string authority; ///< Host to send; if empty, the address of the server
 
     /** Target without its query. */
     std::string path() const;
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -104,6 +104,12 @@
     return this->implementation->bound;
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    asio::post(this->implementation->context,
+               [self = this->implementation, limits] { self->limits = limits; });
+}
+
 void HttpServer::startDraining()
 {
     this->implementation->draining.store(true);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -60,6 +60,8 @@
 
     /** The bound endpoint, with the port chosen by the system if 0 was asked for. */
     Endpoint localEndpoint() const;
+    /** Takes over new limits for the requests that follow. Thread-safe. */
+    void setLimits(const HttpLimits &limits);
     /** From now on every response closes its connection. Thread-safe. */
     void startDraining();
     /** Requests that wait for their response or are being written. Thread-safe. */
--- a/src/http/idleconnections.cpp
+++ b/src/http/idleconnections.cpp
@@ -1,5 +1,7 @@
 #include "http/idleconnections.h"
 
+#include <algorithm>
+
 namespace bronzeshed {
 
 namespace {
@@ -23,7 +25,8 @@
         std::unique_ptr<PooledConnection> connection = std::move(queue.back());
         queue.pop_back();
         const Duration age = now - connection->lastUse;
-        if (age > this->limits.idleTimeout || !connection->isQuiet()) {
+        if (age > std::min<Duration>(this->limits.idleTimeout, connection->idleLimit)
+            || !connection->isQuiet()) {
             continue;
         }
         if (use == ConnectionUse::RecentlyUsed && age > this->limits.recentUse) {
--- a/src/http/pooledconnection.h
+++ b/src/http/pooledconnection.h
@@ -44,6 +44,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     TimePoint lastUse;
+    Duration idleLimit = Duration::max(); ///< stated by the server
 
 private:
     void timeOut()
--- a/src/membership/controlstate.h
+++ b/src/membership/controlstate.h
@@ -6,6 +6,7 @@
 #include "base/strongid.h"
 #include "base/strongnumber.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
     ZoneName zone;
     Endpoint endpoint;
     bool leaving = false;
+    unsigned slots = 0; ///< requests that it runs at the same time; 0 if not known
+    std::int64_t startedAtMs = 0; ///< wall clock; tells starts under one id apart; 0 if not known
+    bool warmingUp = false; ///< started recently and still slow
 
     bool operator==(const UpstreamInfo &) const = default;
 };
--- a/src/model/modelentry.cpp
+++ b/src/model/modelentry.cpp
@@ -82,7 +82,7 @@
     AttemptReport report;
     report.status = status;
     report.httpStatus = status == AttemptStatus::Answered ? StatusOk : 0;
-    report.load = found->second.server->load();
+    report.load = LoadReport{static_cast<unsigned>(found->second.server->load())};
     this->attempts.erase(found);
     this->dispatcher.attemptEnded(id, report);
 }
--- /dev/null
+++ b/src/platform/storecodec.cpp
@@ -0,0 +1,145 @@
+#include "platform/storecodec.h"
+
+#include "base/error.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace bronzeshed {
+
+namespace base64 = boost::beast::detail::base64;
+namespace json = boost::json;
+
+namespace {
+
+const std::string Remedy = "check the platform's metadata store";
+
+json::object parseObject(std::string_view body)
+{
+    boost::system::error_code error;
+    json::value root = json::parse({body.data(), body.size()}, error);
+    if (error || !root.is_object()) {
+        throw ProtocolError("the store's answer is not a JSON object", Remedy);
+    }
+    return std::move(root.get_object());
+}
+
+std::uint64_t readNumber(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value != nullptr && value->is_int64() && value->get_int64() >= 0) {
+        return static_cast<std::uint64_t>(value->get_int64());
+    }
+    if (value != nullptr && value->is_uint64()) {
+        return value->get_uint64();
+    }
+    throw ProtocolError(std::string("the store's answer has no number '") + name + "'", Remedy);
+}
+
+bool readFlag(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+std::string decodeValue(std::string_view text)
+{
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    const auto [written, read] = base64::decode(bytes.data(), text.data(), text.size());
+    bytes.resize(written);
+    return bytes;
+}
+
+std::string encodeValue(std::string_view bytes)
+{
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+StoreItem readItem(const json::value &entry)
+{
+    if (!entry.is_object()) {
+        throw ProtocolError("the store's answer has an item that is no object", Remedy);
+    }
+    const json::object &object = entry.get_object();
+    const json::value *key = object.if_contains("key");
+    if (key == nullptr || !key->is_string()) {
+        throw ProtocolError("the store's answer has an item without a key", Remedy);
+    }
+    StoreItem item;
+    item.key = std::string(key->get_string());
+    item.revision = StoreRevision(readNumber(object, "rev"));
+    const json::value *value = object.if_contains("value");
+    if (value != nullptr && value->is_string()) {
+        item.value = decodeValue(value->get_string());
+    }
+    return item;
+}
+
+const json::array &readArray(const json::object &object, const char *name)
+{
+    const json::value *value = object.if_contains(name);
+    if (value == nullptr || !value->is_array()) {
+        throw ProtocolError(std::string("the store's answer has no list '") + name + "'", Remedy);
+    }
+    return value->get_array();
+}
+
+} // namespace
+
+StorePage decodePage(std::string_view body)
+{
+    const json::object root = parseObject(body);
+    StorePage page;
+    for (const json::value &entry : readArray(root, "items")) {
+        page.range.items.push_back(readItem(entry));
+    }
+    page.range.asOf = StoreRevision(readNumber(root, "asOf"));
+    page.hasMore = readFlag(root, "hasMore");
+    return page;
+}
+
+std::string encodePage(const StoreRange &range)
+{
+    json::array items;
+    for (const StoreItem &item : range.items) {
+        items.push_back(json::object{
+            {"key", item.key}, {"value", encodeValue(item.value)}, {"rev", item.revision.value()}});
+    }
+    return json::serialize(json::object{
+        {"items", std::move(items)}, {"hasMore", false}, {"asOf", range.asOf.value()}});
+}
+
+StoreChanges decodeChanges(std::string_view body)
+{
+    const json::object root = parseObject(body);
+    StoreChanges changes;
+    for (const json::value &entry : readArray(root, "events")) {
+        StoreEvent event;
+        event.item = readItem(entry);
+        event.deleted = readFlag(entry.get_object(), "deleted");
+        changes.events.push_back(std::move(event));
+    }
+    changes.asOf = StoreRevision(readNumber(root, "asOf"));
+    return changes;
+}
+
+LeaseId decodeLease(std::string_view body)
+{
+    return LeaseId(readNumber(parseObject(body), "lease"));
+}
+
+std::string encodePut(const std::string &key, const std::string &value, LeaseId lease)
+{
+    const json::object put{{"key", key}, {"value", encodeValue(value)}, {"lease", lease.value()}};
+    return json::serialize(json::object{
+        {"expected", json::array()}, {"puts", json::array{put}}, {"deletes", json::array()}});
+}
+
+std::string encodeLeaseRequest(std::chrono::milliseconds timeToLive)
+{
+    return json::serialize(json::object{{"ttlMs", timeToLive.count()}});
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/src/platform/wireheaders.cpp
@@ -0,0 +1,157 @@
+#include "platform/wireheaders.h"
+
+#include "base/logline.h"
+#include "base/parsenumber.h"
+
+#include <array>
+#include <cstdio>
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr const char *RequestIdHeader = "X-Bronzeshed-Request-Id";
+constexpr const char *TimeLeftHeader = "X-Bronzeshed-Request-Deadline-Ms";
+/** Proof that the response was made by an upstream. */
+constexpr const char *ProofHeader = "X-Bronzeshed-Server-Signature";
+constexpr const char *ExpectedUpstreamHeader = "X-Bronzeshed-Expected-Instance";
+constexpr const char *UpstreamIdHeader = "X-Bronzeshed-Instance-Id";
+constexpr const char *LoadHeader = "X-Bronzeshed-Server-Load";
+constexpr const char *NotRunHeader = "X-Bronzeshed-Not-Executed";
+
+constexpr unsigned StatusTimeout = 408;
+constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusTooMany = 429;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirect = 300;
+
+/** Reads "running,waiting,slots" and, where the upstream states it, the work time in percent. */
+std::optional<LoadReport> readLoad(const HttpResponse &response)
+{
+    const auto text = response.headers.find(LoadHeader);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::array<unsigned, 4> figures{0, 0, 0, LoadReport{}.workTimePercent};
+    std::string_view rest = *text;
+    std::size_t count = 0;
+    while (count < figures.size() && !rest.empty()) {
+        const auto comma = rest.find(',');
+        const auto number = parseNumber(rest.substr(0, comma));
+        if (!number) {
+            return std::nullopt;
+        }
+        figures.at(count++) = static_cast<unsigned>(*number);
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+    }
+    constexpr std::size_t MinFigures = 3;
+    if (count < MinFigures) {
+        return std::nullopt;
+    }
+    return LoadReport{figures[0], figures[1], figures[2], figures[3]};
+}
+
+/** Statuses that tell a caller that its request has not run and never will. */
+bool promisesNotRun(unsigned status)
+{
+    return status == StatusTimeout || status == StatusMisdirected || status == StatusTooMany
+        || status == StatusUnavailable;
+}
+
+/** Whether the response is what the upstream made of the request, and not a spoiled one. */
+bool isCredible(const HttpResponse &response)
+{
+    if (response.headers.find("Content-Encoding")) {
+        // Requests accept no encoding.
+        return false;
+    }
+    const bool success = response.status >= FirstSuccess && response.status < FirstRedirect;
+    return !success
+        || (response.headers.find(ProofHeader) && response.headers.find(RequestIdHeader));
+}
+
+} // namespace
+
+CallerHeaders readCallerHeaders(const HttpRequest &request)
+{
+    CallerHeaders headers;
+    headers.requestId = RequestId(request.headers.find(RequestIdHeader).value_or(""));
+    if (const auto text = request.headers.find(TimeLeftHeader)) {
+        if (const auto left = parseNumber(*text)) {
+            headers.timeLeft = std::chrono::milliseconds(*left);
+        }
+    }
+    return headers;
+}
+
+void addRetryAfter(HttpResponse &response, std::chrono::milliseconds delay)
+{
+    constexpr double MillisecondsPerSecond = 1000.0;
+    std::array<char, 32> seconds{};
+    std::snprintf(seconds.data(), seconds.size(), "%.3f",
+                  static_cast<double>(delay.count()) / MillisecondsPerSecond);
+    response.headers.set("Retry-After", seconds.data());
+}
+
+void removeUpstreamHeaders(HttpResponse &response)
+{
+    response.headers.remove(LoadHeader);
+    response.headers.remove(UpstreamIdHeader);
+}
+
+void addAttemptHeaders(HttpRequest &request, const UpstreamId &upstream, Duration timeLeft)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft);
+    request.headers.set(TimeLeftHeader, std::to_string(left.count()));
+    request.headers.set(ExpectedUpstreamHeader, upstream.value());
+    request.authority = request.headers.find("Host").value_or("");
+}
+
+AttemptReport PlatformUpstreamProtocol::readAttempt(const ExchangeResult &result) const
+{
+    AttemptReport report;
+    report.status = toAttemptStatus(result.status);
+    if (result.status != ExchangeStatus::Answered) {
+        return report;
+    }
+    const HttpResponse &response = result.response;
+    report.httpStatus = response.status;
+    report.load = readLoad(response);
+    if (response.status == StatusMisdirected) {
+        // The address belongs to another upstream now.
+        report.status = AttemptStatus::NotStarted;
+        report.draining = true;
+    } else if (response.headers.find(NotRunHeader)) {
+        report.status = AttemptStatus::NotStarted;
+    } else if (promisesNotRun(response.status) || !isCredible(response)) {
+        // Passed on, such a status would be a promise that nobody made.
+        report.status = AttemptStatus::Failed;
+        LogLine("response_rejected", LogLevel::Warning)
+            .add("status", response.status)
+            .add("request_id", response.headers.find(RequestIdHeader).value_or(""));
+    }
+    return report;
+}
+
+ResponseRules PlatformUpstreamProtocol::responseRules(const HttpRequest &request) const
+{
+    ResponseRules rules;
+    rules.echoHeader = RequestIdHeader;
+    rules.echoValue = request.headers.find(RequestIdHeader).value_or("");
+    rules.acceptUntilClose = true;
+    return rules;
+}
+
+std::optional<LoadReport> PlatformUpstreamProtocol::readProbe(const UpstreamId &upstream,
+                                                              const ExchangeResult &result) const
+{
+    constexpr unsigned Healthy = 200;
+    if (result.status != ExchangeStatus::Answered || result.response.status != Healthy
+        || result.response.headers.find(UpstreamIdHeader) != upstream.value()) {
+        return std::nullopt;
+    }
+    return readLoad(result.response);
+}
+
+} // namespace bronzeshed
--- a/src/routing/callbudget.h
+++ b/src/routing/callbudget.h
@@ -12,15 +12,24 @@
     /**
      * @param share permits earned per call
      * @param initial permits before the first call
+     * @param maximum bounds a burst of extra attempts after a long time without any
      */
-    CallBudget(double share, double initial)
+    CallBudget(double share, double initial, double maximum)
         : share(share)
-        , permits(initial)
+        , permits(std::min(initial, maximum))
+        , maximum(maximum)
     {
     }
 
     /** Counts a call. */
-    void earn() { this->permits = std::min(this->permits + this->share, MaxPermits); }
+    void earn() { this->permits = std::min(this->permits + this->share, this->maximum); }
+
+    /** Changes the bound; permits above it are lost. */
+    void setMaximum(double newMaximum)
+    {
+        this->maximum = newMaximum;
+        this->permits = std::min(this->permits, newMaximum);
+    }
 
     /** Spends a permit if there is one. */
     bool trySpend()
@@ -33,13 +42,12 @@
     }
 
 private:
-    /** Bounds a burst of extra attempts after a long time without any. */
-    static constexpr double MaxPermits = 10;
     /** Ten tenths add up to slightly less than one. */
     static constexpr double RoundingError = 1e-9;
 
     double share;
     double permits;
+    double maximum;
 };
 
 } // namespace bronzeshed
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/opencall.h"
 #include "routing/queueestimate.h"
+#include "routing/sharedupstreampolicy.h"
 
 #include <algorithm>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr unsigned MaxAttempts = 3;
 constexpr double RetryShare = 0.1; ///< of the calls of a class
 constexpr double HedgeShare = 0.05; ///< of the calls of a class
 /** One permit lets a rarely called class survive a connection that its upstream closed. */
@@ -44,6 +44,7 @@
     , upstreams(clock, timers, output, this->options,
                 [this](const ServiceName &service) { this->startWaiting(service); })
     , hedgeTimer(timers, [this](CallId id) { this->hedge(id); })
+    , loadSurvey(clock, timers, output, [this](CallId id) { this->placeSurveyed(id); })
 {
 }
 
@@ -100,12 +101,13 @@
     OpenCall &call = *owned;
     call.id = request.id;
     call.target = target->second;
+    call.target.service = this->drawService(target->second);
     call.deadline = this->clock.now() + request.timeLeft;
     call.expiry
         = this->timers.once(call.deadline, [this, id = call.id](TimePoint) { this->expire(id); });
     this->calls.emplace(call.id, std::move(owned));
     this->enqueue(call);
-    this->startWaiting(target->second.service);
+    this->startWaiting(call.target.service);
 }
 
 Reason Dispatcher::checkLoad(const ClassTarget &target, const CallRequest &request)
@@ -113,6 +115,11 @@
     if (this->calls.size() >= this->options.maxCalls) {
         return Reason::QueueFull;
     }
+    if (this->options.sharedUpstreams) {
+        // The load of shared upstreams is known only after they were asked.
+        this->checkRepeat(target, request.attempt);
+        return request.timeLeft > Duration::zero() ? Reason::None : Reason::DeadlineTooShort;
+    }
     const Service &service = this->services[target.service];
     const std::vector<UpstreamView *> views = this->usableUpstreams(target.service);
     const QueueEstimate estimate(service.queue, service.times, countSlots(views),
@@ -144,7 +151,8 @@
 
 Dispatcher::ClassBudgets &Dispatcher::budgetsOf(const ClassName &name)
 {
-    const ClassBudgets initial{CallBudget(RetryShare, InitialRetries), CallBudget(HedgeShare, 0)};
+    const ClassBudgets initial{CallBudget(RetryShare, InitialRetries, this->repeatBurst),
+                               CallBudget(HedgeShare, 0, this->repeatBurst)};
     return this->budgets.try_emplace(name, initial).first->second;
 }
 
@@ -196,6 +204,14 @@
 
 bool Dispatcher::startQueued(OpenCall &call)
 {
+    if (this->options.sharedUpstreams) {
+        this->services[call.target.service].queue.start(call.target.name, call.deadline, call.id);
+        call.queued = false;
+        if (!this->survey(call)) {
+            this->place(call);
+        }
+        return true;
+    }
     const std::vector<UpstreamView *> views = this->candidates(call);
     UpstreamView *view = this->policy->choose(views, this->random);
     if (view == nullptr) {
@@ -211,6 +227,81 @@
     return true;
 }
 
+bool Dispatcher::survey(OpenCall &call)
+{
+    if (call.surveyed || this->options.loadQueriesPerCall == 0) {
+        return false;
+    }
+    call.surveyed = true;
+    const SharedUpstreamPolicy order(this->clock);
+    auto views = this->candidates(call);
+    const auto isIdeal = [&](const UpstreamView *view) { return order.isIdeal(*view); };
+    if (views.size() < 2 || std::any_of(views.begin(), views.end(), isIdeal)) {
+        return false;
+    }
+    // Shuffled, so that upstreams of equal cost are asked in turn.
+    for (std::size_t i = views.size() - 1; i > 0; --i) {
+        std::swap(views[i], views[this->random.below(i + 1)]);
+    }
+    std::stable_sort(views.begin(), views.end(),
+                     [&](const UpstreamView *left, const UpstreamView *right) {
+                         return order.cost(*left) < order.cost(*right);
+                     });
+    views.resize(std::min<std::size_t>(views.size(), this->options.loadQueriesPerCall));
+    std::vector<UpstreamInfo> asked;
+    for (const UpstreamView *view : views) {
+        asked.push_back(view->info);
+    }
+    return this->loadSurvey.begin(call.id, asked);
+}
+
+void Dispatcher::placeSurveyed(CallId id)
+{
+    const auto found = this->calls.find(id);
+    if (found != this->calls.end()) {
+        this->place(*found->second);
+    }
+}
+
+void Dispatcher::place(OpenCall &call)
+{
+    UpstreamView *view = this->policy->choose(this->candidates(call), this->random);
+    if (view == nullptr) {
+        this->abandon(call, Reason::NoUpstream);
+        return;
+    }
+    this->startAttempt(call, *view, false);
+    this->armHedge(call, *view);
+}
+
+ServiceName Dispatcher::drawService(const ClassTarget &target)
+{
+    double total = 0;
+    for (const WeightedService &part : target.split) {
+        total += part.weight;
+    }
+    if (total <= 0) {
+        return target.service;
+    }
+    double drawn = total * this->random.unit();
+    for (const WeightedService &part : target.split) {
+        if (drawn < part.weight) {
+            return part.service;
+        }
+        drawn -= part.weight;
+    }
+    return target.split.back().service;
+}
+
+void Dispatcher::setRepeatBurst(double permits)
+{
+    this->repeatBurst = permits;
+    for (auto &[name, budget] : this->budgets) {
+        budget.retries.setMaximum(permits);
+        budget.hedges.setMaximum(permits);
+    }
+}
+
 void Dispatcher::startAttempt(OpenCall &call, UpstreamView &view, bool hedge)
 {
     this->lastAttempt = this->lastAttempt.next();
@@ -232,6 +323,8 @@
     order.idempotent = call.target.repeatable;
     order.hedge = hedge;
     order.retry = !hedge && call.attempts > 1;
+    order.load = view.load;
+    order.loadAge = view.load ? this->clock.now() - view.loadAt : Duration::zero();
     this->output.startAttempt(order);
 }
 
@@ -314,7 +407,7 @@
         return;
     }
     const bool mayRepeat = call.target.repeatable || !call.mayHaveRun;
-    if (!mayRepeat || call.attempts >= MaxAttempts || this->clock.now() >= call.deadline
+    if (!mayRepeat || call.attempts >= call.target.maxAttempts || this->clock.now() >= call.deadline
         || !this->budgetsOf(call.target.name).retries.trySpend()) {
         this->finish(call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, call.lastReason,
                      {});
@@ -323,9 +416,16 @@
     this->enqueue(call);
 }
 
-void Dispatcher::probeEnded(const UpstreamId &id, bool healthy)
+void Dispatcher::probeEnded(const UpstreamId &id, bool healthy,
+                            const std::optional<LoadReport> &load)
 {
     this->upstreams.probeEnded(id, healthy);
+    if (!this->options.sharedUpstreams) {
+        return;
+    }
+    const UpstreamView *view = this->upstreams.loadReported(id, load);
+    const SharedUpstreamPolicy order(this->clock);
+    this->loadSurvey.queryEnded(id, view != nullptr && order.isIdeal(*view));
 }
 
 void Dispatcher::expire(CallId id)
@@ -362,6 +462,7 @@
     const CallId id = call.id;
     this->timers.cancel(call.expiry);
     this->hedgeTimer.cancel(id);
+    this->loadSurvey.cancel(id);
     if (call.queued) {
         this->services[call.target.service].queue.erase(call.target.name, call.deadline, id);
     }
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -13,6 +13,7 @@
 #include "routing/dispatcheroptions.h"
 #include "routing/dispatcheroutput.h"
 #include "routing/hedgetimer.h"
+#include "routing/loadsurvey.h"
 #include "routing/selectionpolicy.h"
 #include "routing/servicetimeestimate.h"
 #include "routing/upstreamset.h"
@@ -60,8 +61,15 @@
     /** Takes the end of an attempt that was started. */
     void attemptEnded(AttemptId id, const AttemptReport &report);
 
-    /** Takes the end of a probe that was started. */
-    void probeEnded(const UpstreamId &id, bool healthy);
+    /**
+     * Takes the end of a probe that was started.
+     * @param load of the upstream, if it answered with it
+     */
+    void probeEnded(const UpstreamId &id, bool healthy,
+                    const std::optional<LoadReport> &load = std::nullopt);
+
+    /** Bounds the extra attempts of a class that may follow each other after a calm time. */
+    void setRepeatBurst(double permits);
 
     /** The caller of @p id left; its attempts are cancelled. */
     void callerLeft(CallId id);
@@ -77,6 +85,8 @@
     std::size_t usedSlots() const { return this->upstreams.usedSlots(); }
 
 private:
+    static constexpr double DefaultRepeatBurst = 10;
+
     /** Budgets of a class; they outlast configuration changes. */
     struct ClassBudgets
     {
@@ -95,6 +105,10 @@
     void enqueue(OpenCall &call);
     void startWaiting(const ServiceName &service);
     bool startQueued(OpenCall &call);
+    bool survey(OpenCall &call);
+    void placeSurveyed(CallId id);
+    void place(OpenCall &call);
+    ServiceName drawService(const ClassTarget &target);
     void startAttempt(OpenCall &call, UpstreamView &view, bool hedge);
     void armHedge(const OpenCall &call, const UpstreamView &view);
     void hedge(CallId id);
@@ -116,6 +130,8 @@
     std::set<ServiceName> repeatableServices; ///< services with a class that may be repeated
     UpstreamSet upstreams;
     HedgeTimer hedgeTimer;
+    LoadSurvey loadSurvey;
+    double repeatBurst = DefaultRepeatBurst;
     std::unordered_map<CallId, std::unique_ptr<OpenCall>> calls;
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::map<ServiceName, Service> services;
--- a/src/routing/dispatcheroptions.h
+++ b/src/routing/dispatcheroptions.h
@@ -14,6 +14,13 @@
     unsigned slotsPerUpstream = 2;
     RegionName region; ///< of this entry
     ZoneName zone; ///< of this entry
+    /**
+     * Whether other entries send work to the same upstreams. Calls then do not wait here for a
+     * slot, as only the upstream knows how many calls it has.
+     */
+    bool sharedUpstreams = false;
+    /** Upstreams asked for their load before a call is placed; 0 asks none. */
+    unsigned loadQueriesPerCall = 0;
 };
 
 } // namespace bronzeshed
--- a/src/routing/dispatcheroutput.h
+++ b/src/routing/dispatcheroutput.h
@@ -5,8 +5,11 @@
 #include "base/strongnumber.h"
 #include "membership/controlstate.h"
 #include "requests/outcome.h"
+#include "routing/loadreport.h"
 
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace bronzeshed {
 
@@ -20,13 +23,16 @@
     Cancelled, ///< cancelled by this side
 };
 
+/** Name of a status in metrics and log lines; static text. */
+std::string_view attemptStatusName(AttemptStatus status);
+
 /** What is known about an attempt after its end. */
 struct AttemptReport
 {
     AttemptStatus status = AttemptStatus::NotSent;
     unsigned httpStatus = 0; ///< valid if Answered
     bool draining = false; ///< the upstream said that it is leaving
-    std::optional<unsigned> load; ///< requests in flight at the upstream, by its own report
+    std::optional<LoadReport> load; ///< by its own report
     std::optional<Duration> serviceTime; ///< time spent running, by its own report
 
     /** Whether a response without server error arrived. An upstream that fails fast answers too. */
@@ -49,13 +55,17 @@
     bool idempotent = false; ///< if not, only recently used or new connections may carry it
     bool hedge = false; ///< runs beside another attempt of the same call
     bool retry = false; ///< follows a failed attempt of the same call
+    std::optional<LoadReport> load; ///< newest report of the upstream, by which it was chosen
+    Duration loadAge = Duration::zero(); ///< of that report
 };
 
-/** A request to the health endpoint of an ejected upstream. */
+/** A request to the health endpoint of an upstream, for its health or its load. */
 struct ProbeOrder
 {
     UpstreamInfo upstream;
     Duration timeout = Duration::zero();
+    bool loadQuery = false; ///< asks for the load only, so any idle connection will do
+    std::string path = "/health";
 };
 
 /** Port through which the decisions leave. */
--- a/src/routing/opencall.h
+++ b/src/routing/opencall.h
@@ -20,6 +20,7 @@
     unsigned attempts = 0;
     bool mayHaveRun = false; ///< an attempt ended with an unknown effect
     bool queued = false;
+    bool surveyed = false; ///< the load of upstreams was asked for this call
     std::vector<AttemptId> running; ///< at most an attempt and its hedge
     std::vector<UpstreamId> tried;
     Reason lastReason = Reason::DeadlinePassed;
--- /dev/null
+++ b/src/routing/sharedupstreampolicy.h
@@ -0,0 +1,33 @@
+#ifndef BRONZESHED_ROUTING_SHAREDUPSTREAMPOLICY_H
+#define BRONZESHED_ROUTING_SHAREDUPSTREAMPOLICY_H
+
+#include "routing/selectionpolicy.h"
+
+namespace bronzeshed {
+
+/**
+ * For upstreams that several entries share: the upstream at which a call is expected to end first,
+ * by the newest load reports and the own attempts since.
+ */
+class SharedUpstreamPolicy : public SelectionPolicy
+{
+public:
+    explicit SharedUpstreamPolicy(const Clock &clock)
+        : clock(clock)
+    {
+    }
+
+    UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
+
+    /** Expected time of a call there, as a multiple of the usual time on an idle upstream. */
+    double cost(const UpstreamView &view) const;
+    /** Whether no other upstream can be clearly better: idle, recently reported, at usual speed. */
+    bool isIdeal(const UpstreamView &view) const;
+
+private:
+    const Clock &clock;
+};
+
+} // namespace bronzeshed
+
+#endif
--- a/src/routing/upstreamset.cpp
+++ b/src/routing/upstreamset.cpp
@@ -58,9 +58,13 @@
         ids.insert(info.id);
         const auto [found, isNew] = this->upstreams.try_emplace(info.id);
         Upstream &upstream = found->second;
-        if (isNew || upstream.view.info.endpoint != info.endpoint) {
+        const bool restarted = upstream.view.info.startedAtMs != info.startedAtMs;
+        if (isNew || restarted || upstream.view.info.endpoint != info.endpoint) {
             // A service without other upstreams has nothing to gain from a slow start.
-            this->add(upstream, info, this->byService.contains(info.service));
+            const bool slowStart = this->options.sharedUpstreams
+                ? info.warmingUp
+                : this->byService.contains(info.service);
+            this->add(upstream, info, slowStart);
         }
         // An upstream that left and was called back has ended its drain.
         const bool returned = upstream.view.info.leaving && !info.leaving;
@@ -103,10 +107,16 @@
     const Duration age = now - upstream.coldSince;
     const bool warm = age >= MinSlowStart && upstream.answers >= SlowStartAnswers;
     view.cold = view.cold && !warm && age < MaxSlowStart;
+    if (this->options.sharedUpstreams) {
+        view.cold = view.info.warmingUp && age < MaxSlowStart;
+    }
     const bool sampled = upstream.samples >= MinSamples && now - upstream.sampledAt <= MaxSampleAge;
     view.slow = sampled && view.sameRegion && mean && *view.serviceTime > *mean * SlowFactor;
     view.trial = upstream.health.state() == UpstreamHealth::State::Trial;
-    view.slots = this->options.slotsPerUpstream;
+    view.slots = view.info.slots > 0 ? view.info.slots : this->options.slotsPerUpstream;
+    if (this->options.sharedUpstreams) {
+        return;
+    }
     if (view.cold || view.slow || !view.sameRegion) {
         // Upstreams of other regions keep the other slots for the owner of their own region.
         view.slots = std::max(1U, view.slots / 2);
@@ -146,6 +156,7 @@
         place.queued = upstream.queued.add();
     }
     ++view.outstanding;
+    ++view.startedSinceLoad;
     return place;
 }
 
@@ -169,9 +180,10 @@
     Upstream &upstream = found->second;
     UpstreamView &view = upstream.view;
     --view.outstanding;
+    --view.startedSinceLoad;
     view.draining = view.draining || report.draining;
     if (report.load) {
-        view.reportedLoad = report.load;
+        this->recordLoad(view, *report.load);
     }
     const TimePoint now = this->clock.now();
     const Duration time = now - this->serviceStart(upstream, place);
@@ -190,6 +202,30 @@
     return time;
 }
 
+void UpstreamSet::recordLoad(UpstreamView &view, const LoadReport &load) const
+{
+    view.reportedLoad = load.running;
+    view.load = load;
+    view.loadAt = this->clock.now();
+    view.startedSinceLoad = 0;
+    view.silentAt.reset();
+}
+
+UpstreamView *UpstreamSet::loadReported(const UpstreamId &id, const std::optional<LoadReport> &load)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()) {
+        return nullptr;
+    }
+    UpstreamView &view = found->second.view;
+    if (load) {
+        this->recordLoad(view, *load);
+    } else {
+        view.silentAt = this->clock.now();
+    }
+    return &view;
+}
+
 std::size_t UpstreamSet::usedSlots() const
 {
     std::size_t used = 0;
@@ -217,11 +253,14 @@
             this->recordFailure(upstream);
         }
         return;
-    case AttemptStatus::NotStarted:
-        if (!report.draining) {
+    case AttemptStatus::NotStarted: {
+        // A shared upstream that is full refuses calls without being at fault.
+        const bool full = this->options.sharedUpstreams && report.load && report.load->waiting > 0;
+        if (!report.draining && !full) {
             this->recordFailure(upstream);
         }
         return;
+    }
     case AttemptStatus::TimedOut:
     case AttemptStatus::Cancelled:
         // A short deadline is no fault of the upstream, but a trial call without answer is none.
@@ -284,7 +323,7 @@
         || !this->budget.trySpend(view.info.id, this->clock.now())) {
         return false;
     }
-    if (!this->output.startProbe(ProbeOrder{view.info, ProbeTimeout})) {
+    if (!this->output.startProbe(ProbeOrder{view.info, ProbeTimeout, false})) {
         return false;
     }
     upstream.health.beginProbe();
--- a/src/routing/upstreamset.h
+++ b/src/routing/upstreamset.h
@@ -61,6 +61,12 @@
 
     void probeEnded(const UpstreamId &id, bool healthy);
 
+    /**
+     * Takes the answer to a load query, or its absence.
+     * @return the upstream, or nullptr if it is gone
+     */
+    UpstreamView *loadReported(const UpstreamId &id, const std::optional<LoadReport> &load);
+
     std::size_t usedSlots() const;
 
     /** Whether probes and trial calls may be sent. */
@@ -84,6 +90,7 @@
     void add(Upstream &upstream, const UpstreamInfo &info, bool slowStart);
     void refresh(Upstream &upstream, std::optional<Duration> mean) const;
     TimePoint serviceStart(Upstream &upstream, const AttemptPlace &place) const;
+    void recordLoad(UpstreamView &view, const LoadReport &load) const;
     void recordTime(Upstream &upstream, Duration time);
     void recordEnd(Upstream &upstream, const AttemptReport &report, bool ranLate);
     void recordFailure(Upstream &upstream);
--- a/src/routing/upstreamview.cpp
+++ b/src/routing/upstreamview.cpp
@@ -1,7 +1,19 @@
 #include "routing/upstreamview.h"
 
+#include <algorithm>
+
 namespace bronzeshed {
 
+unsigned UpstreamView::estimatedRequests() const
+{
+    if (!this->load) {
+        return this->outstanding;
+    }
+    const int reported = static_cast<int>(this->load->running + this->load->waiting);
+    const int estimate = std::max(0, reported + this->startedSinceLoad);
+    return std::max(this->outstanding, static_cast<unsigned>(estimate));
+}
+
 std::size_t countSlots(const std::vector<UpstreamView *> &views)
 {
     std::size_t slots = 0;
--- a/src/routing/upstreamview.h
+++ b/src/routing/upstreamview.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "membership/controlstate.h"
+#include "routing/loadreport.h"
 
 #include <cstddef>
 #include <optional>
@@ -18,6 +19,10 @@
     unsigned slots = 2; ///< attempts that may be in progress now
     bool draining = false; ///< by its own report
     std::optional<unsigned> reportedLoad;
+    std::optional<LoadReport> load; ///< newest report
+    TimePoint loadAt; ///< when it arrived
+    int startedSinceLoad = 0; ///< attempts of this entry started less those ended since then
+    std::optional<TimePoint> silentAt; ///< when a load query got no answer, if none came since
     std::optional<Duration> serviceTime; ///< smoothed
     bool sameZone = false;
     bool sameRegion = false;
@@ -27,6 +32,9 @@
 
     bool queues = true; ///< keeps a call that it cannot start yet, instead of refusing it
 
+    /** Requests that it has now, as far as reports and the own attempts tell. */
+    unsigned estimatedRequests() const;
+
     bool hasFreeSlot() const { return this->outstanding < this->slots; }
     /** Whether one call may wait at the upstream, so that its next free slot is not idle. */
     bool mayQueueCall() const
