--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -69,6 +69,8 @@
 {
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(program);
+    // A crash leaves a stack trace in the log.
+    google::InstallFailureSignalHandler();
 }
 
 } // namespace bronzeshed
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -44,7 +44,9 @@
     , upstreams(clock, timers, output, this->options,
                 [this](const ServiceName &service) { this->startWaiting(service); })
     , hedgeTimer(timers, [this](CallId id) { this->hedge(id); })
-    , loadSurvey(clock, timers, output, [this](CallId id) { this->placeSurveyed(id); })
+    , loadSurvey(
+          clock, timers, output, [this](CallId id) { this->placeSurveyed(id); },
+          [this](const UpstreamId &id) { this->upstreams.loadReported(id, std::nullopt); })
 {
 }
 
--- a/src/routing/loadsurvey.cpp
+++ b/src/routing/loadsurvey.cpp
@@ -10,11 +10,13 @@
 } // namespace
 
 LoadSurvey::LoadSurvey(const Clock &clock, TimerService &timers, DispatcherOutput &output,
-                       std::function<void(CallId)> ready)
+                       std::function<void(CallId)> ready,
+                       std::function<void(const UpstreamId &)> late)
     : clock(clock)
     , timers(timers)
     , output(output)
     , ready(std::move(ready))
+    , late(std::move(late))
 {
 }
 
@@ -38,7 +40,7 @@
         return false;
     }
     pending.limit = this->timers.once(this->clock.now() + MaxWait,
-                                      [this, call](TimePoint) { this->end(call); });
+                                      [this, call](TimePoint) { this->expire(call); });
     this->calls.emplace(call, std::move(pending));
     return true;
 }
@@ -76,6 +78,15 @@
     }
 }
 
+void LoadSurvey::expire(CallId call)
+{
+    const std::set<UpstreamId> unanswered = this->calls.at(call).asked;
+    for (const UpstreamId &id : unanswered) {
+        this->late(id);
+    }
+    this->end(call);
+}
+
 void LoadSurvey::end(CallId call)
 {
     this->cancel(call);
--- a/src/routing/loadsurvey.h
+++ b/src/routing/loadsurvey.h
@@ -23,9 +23,12 @@
     /** How long a call waits for load reports before it is placed without them. */
     static constexpr std::chrono::milliseconds MaxWait{15};
 
-    /** @param ready called when a call has all its reports or has waited for MaxWait */
+    /**
+     * @param ready called when a call has all its reports or has waited for MaxWait
+     * @param late called for each upstream that did not answer within MaxWait
+     */
     LoadSurvey(const Clock &clock, TimerService &timers, DispatcherOutput &output,
-               std::function<void(CallId)> ready);
+               std::function<void(CallId)> ready, std::function<void(const UpstreamId &)> late);
     ~LoadSurvey();
     LoadSurvey(const LoadSurvey &) = delete;
     LoadSurvey &operator=(const LoadSurvey &) = delete;
@@ -51,11 +54,13 @@
 
     bool ask(const UpstreamInfo &upstream);
     void end(CallId call);
+    void expire(CallId call);
 
     const Clock &clock;
     TimerService &timers;
     DispatcherOutput &output;
     std::function<void(CallId)> ready;
+    std::function<void(const UpstreamId &)> late;
     std::map<UpstreamId, std::vector<CallId>> queries; ///< in progress, with the calls that wait
     std::unordered_map<CallId, Pending> calls;
 };
--- a/src/routing/upstreamset.cpp
+++ b/src/routing/upstreamset.cpp
@@ -152,7 +152,7 @@
 {
     Upstream &upstream = this->upstreams.at(view.info.id);
     AttemptPlace place{view.info.id, upstream.generation, this->clock.now(), std::nullopt};
-    if (!view.hasFreeSlot()) {
+    if (!this->options.sharedUpstreams && !view.hasFreeSlot()) {
         place.queued = upstream.queued.add();
     }
     ++view.outstanding;
