--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -64,15 +64,13 @@
            {wakeup, callerRing, departureRing, attemptRing, probeRing, upstreams, metrics})
     , loopThread([this] { this->loop.run(); })
     , registrar(given.store, this->self(), health)
-    , follower(
-          {given.store, given.instance, given.region, given.regions, given.seeds}, health,
-          [this](FleetState state) { this->takeState(std::move(state)); },
-          [this] { this->registrar.registrationMissing(); })
+    , snapshotPort(follower)
+    , follower({given.store, given.instance, given.region, given.zone, given.regions, given.seeds},
+               health, *this)
     , lookupPort(*this)
     , lookups(given.lookups, HttpLimits{}, lookupPort)
     , readinessPort(*this)
     , readiness(given.readiness, HttpLimits{}, readinessPort)
-    , snapshotPort(follower)
     , peers(given.peers, HttpLimits{}, snapshotPort)
     , adminPort(*this)
     , admin(given.admin, HttpLimits{}, adminPort)
@@ -116,7 +114,7 @@
     return member;
 }
 
-void GatewayProcess::takeState(FleetState state)
+void GatewayProcess::stateChanged(FleetState state)
 {
     {
         const std::lock_guard lock(this->membersMutex);
@@ -129,6 +127,21 @@
     this->loop.setState(std::move(state));
 }
 
+void GatewayProcess::copyChanged()
+{
+    this->snapshotPort.copyChanged();
+}
+
+void GatewayProcess::registrationMissing()
+{
+    this->registrar.registrationMissing();
+}
+
+void GatewayProcess::relayingChanged(bool relaying)
+{
+    this->registrar.setRelaying(relaying);
+}
+
 LookupAnswer GatewayProcess::lookup(const RegionName &region, const ZoneName &zone)
 {
     LookupAnswer answer;
@@ -176,7 +189,9 @@
 
 void GatewayProcess::tick()
 {
-    this->metrics.drain(std::chrono::steady_clock::now());
+    const TimePoint now = std::chrono::steady_clock::now();
+    this->metrics.drain(now);
+    this->snapshotPort.expireWatches(now);
 }
 
 void GatewayProcess::drain(SignalMonitor &signals)
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -6,6 +6,7 @@
 #include "gateway/registrar.h"
 #include "gateway/storefollower.h"
 #include "metrics/adminport.h"
+#include "platform/publicports.h"
 #include "platform/wireheaders.h"
 
 #include <memory>
@@ -37,7 +38,7 @@
  * One process of the fleet on the users' platform: serves callers, tells them which entries to use
  * and follows the metadata store.
  */
-class GatewayProcess : private PublicSource, private AdminSource
+class GatewayProcess : private PublicSource, private AdminSource, private FollowerEvents
 {
 public:
     explicit GatewayProcess(const GatewayOptions &options);
@@ -60,10 +61,13 @@
     bool isReady() override;
     std::string metricsText() override;
     std::string notReadyReason() override;
+    void stateChanged(FleetState state) override;
+    void copyChanged() override;
+    void registrationMissing() override;
+    void relayingChanged(bool relaying) override;
 
     GatewayLoopOptions loopOptions() const;
     Member self() const;
-    void takeState(FleetState state);
 
     GatewayOptions options;
     Wakeup wakeup;
@@ -84,12 +88,12 @@
     CallerLimits limitsInForce;
     StoreHealth health;
     Registrar registrar;
+    SnapshotPort snapshotPort;
     StoreFollower follower;
     LookupPort lookupPort;
     HttpServer lookups;
     ReadinessPort readinessPort;
     HttpServer readiness;
-    SnapshotPort snapshotPort;
     HttpServer peers;
     AdminPort adminPort;
     HttpServer admin;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds TickPeriod{500};
+constexpr std::chrono::milliseconds TickPeriod{250};
 constexpr std::uint64_t MaxGraceMs = 600000;
 constexpr std::uint64_t MaxLookupValidityS = 60;
 constexpr std::uint64_t MaxLoadQueries = 16;
--- a/src/gateway/registrar.cpp
+++ b/src/gateway/registrar.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds LeaseTime{3000};
 /** Two renewals may fail before the lease ends. */
 constexpr std::chrono::milliseconds RenewPeriod{1000};
+/** Renewals of an entry on which others rely. */
+constexpr std::chrono::milliseconds RelayRenewPeriod{400};
 /** The watch shows a registration only some time after it was written. */
 constexpr std::chrono::seconds SettleTime{2};
 
@@ -35,6 +37,11 @@
     this->missing.store(true);
 }
 
+void Registrar::setRelaying(bool newRelaying)
+{
+    this->relaying.store(newRelaying);
+}
+
 void Registrar::leave()
 {
     {
@@ -69,7 +76,8 @@
             this->health.failed(error.what(), std::chrono::steady_clock::now());
         }
         lock.lock();
-        this->changed.wait_for(lock, RenewPeriod, [this] { return this->stopping; });
+        const auto period = this->relaying.load() ? RelayRenewPeriod : RenewPeriod;
+        this->changed.wait_for(lock, period, [this] { return this->stopping; });
     }
 }
 
--- a/src/gateway/registrar.h
+++ b/src/gateway/registrar.h
@@ -26,6 +26,11 @@
 
     /** The registration is missing in the store; it is written again. Thread-safe. */
     void registrationMissing();
+    /**
+     * Whether other entries follow the store through this one. It then renews more often, so that
+     * it notices sooner that it lost the store. Thread-safe.
+     */
+    void setRelaying(bool relaying);
     /** Ends the registration and the thread. */
     void leave();
 
@@ -41,6 +46,7 @@
     std::condition_variable changed;
     bool stopping = false;
     std::atomic<bool> missing{true};
+    std::atomic<bool> relaying{false};
     TimePoint registeredAt;
     LeaseId lease; ///< 0 if there is none
     std::thread thread;
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -4,6 +4,7 @@
 #include "base/logline.h"
 #include "platform/configuration.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <set>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+/** Changes kept for entries that read this copy; they read all items anew beyond that. */
+constexpr std::size_t MaxLogSize = 512;
+
 /** The part of @p key after @p prefix, or nothing if it does not begin with it. */
 std::optional<std::string_view> afterPrefix(std::string_view key, std::string_view prefix)
 {
@@ -80,6 +84,8 @@
         changed |= this->erase(key, missing, now);
     }
     this->asOf = range.asOf;
+    this->log.clear();
+    this->logStart = range.asOf;
     return changed;
 }
 
@@ -89,6 +95,11 @@
     for (const StoreEvent &event : changes.events) {
         changed
             |= event.deleted ? this->erase(event.item.key, deletion, now) : this->put(event.item);
+        this->log.push_back(event);
+    }
+    while (this->log.size() > MaxLogSize) {
+        this->logStart = this->log.front().item.revision;
+        this->log.pop_front();
     }
     this->asOf = std::max(this->asOf, changes.asOf);
     return changed;
@@ -217,14 +228,37 @@
     return state;
 }
 
-StoreRange Registry::snapshot() const
+StoreRange Registry::snapshot(bool withLapsed) const
 {
     StoreRange range;
     range.asOf = this->asOf;
     for (const auto &[key, item] : this->items) {
-        range.items.push_back(item);
+        if (withLapsed || !this->lapsed.contains(key)) {
+            range.items.push_back(item);
+        }
     }
     return range;
 }
 
+StoreChanges Registry::changesSince(StoreRevision after) const
+{
+    StoreChanges changes;
+    changes.asOf = std::max(this->asOf, after);
+    changes.historyLost = after < this->logStart;
+    if (changes.historyLost) {
+        return changes;
+    }
+    std::map<std::string_view, std::size_t> newest; // by key, the place in the log
+    for (std::size_t i = 0; i < this->log.size(); ++i) {
+        newest[this->log[i].item.key] = i;
+    }
+    for (std::size_t i = 0; i < this->log.size(); ++i) {
+        const StoreItem &item = this->log[i].item;
+        if (item.revision > after && newest[item.key] == i) {
+            changes.events.push_back(this->log[i]);
+        }
+    }
+    return changes;
+}
+
 } // namespace bronzeshed
--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -7,6 +7,7 @@
 #include "platform/metadatastore.h"
 #include "platform/registration.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -62,8 +63,10 @@
     StoreRevision revision() const { return this->asOf; }
     bool hasMember(const InstanceId &id) const { return this->members.contains(id); }
     FleetState state() const;
-    /** All items, for entries that cannot reach the store. */
-    StoreRange snapshot() const;
+    /** All items, those that may only have lapsed included or not. */
+    StoreRange snapshot(bool withLapsed) const;
+    /** The changes after @p after; historyLost is set if they are no longer kept. */
+    StoreChanges changesSince(StoreRevision after) const;
 
 private:
     bool put(const StoreItem &item);
@@ -75,6 +78,8 @@
     ZoneRegions regions;
     StoreRevision asOf;
     std::map<std::string, StoreItem> items;
+    std::deque<StoreEvent> log; ///< the newest changes, oldest first
+    StoreRevision logStart; ///< the log holds all changes after this revision
     std::map<std::string, TimePoint> lapsed; ///< keys with the end of their grace
     ConfigVersion version;
     std::shared_ptr<const Declaration> declaration;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -13,7 +13,14 @@
 /** Half of the time that the store lets a watch wait. */
 constexpr std::chrono::milliseconds WatchWait{15000};
 /** Changes within this time share one call of the watch, since each call is paid for. */
-constexpr std::chrono::milliseconds BatchTime{400};
+constexpr std::chrono::milliseconds BatchTime{700};
+/** A watch at a relay is this short so that a relay that stopped is noticed soon. */
+constexpr std::chrono::milliseconds RelayWait{700};
+constexpr std::chrono::milliseconds RelayTimeout{600};
+/** A relay that did not hear from the store for longer may have lost it without knowing. */
+constexpr std::chrono::milliseconds RelayFreshness{900};
+/** How long an entry watches the store itself after its relay failed. */
+constexpr std::chrono::seconds RelayAvoidTime{3};
 /** An instance without the store must learn of changes within a few seconds. */
 constexpr std::chrono::milliseconds PeerPeriod{500};
 constexpr std::chrono::milliseconds PeerTimeout{300};
@@ -24,13 +31,10 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(FollowerOptions given, StoreHealth &health, Sink sink,
-                             std::function<void()> ownKeyMissing)
+StoreFollower::StoreFollower(FollowerOptions given, StoreHealth &health, FollowerEvents &events)
     : options(std::move(given))
     , health(health)
-    , sink(std::move(sink))
-    , ownKeyMissing(std::move(ownKeyMissing))
-    , store(this->options.store, StoreTimeout, [this] { return this->isCancelled(); })
+    , events(events)
     , random(makeSystemRandom())
     , registry(this->options.regions)
     , thread([this] { this->run(); })
@@ -50,17 +54,32 @@
     }
 }
 
-StoreRange StoreFollower::snapshot()
+StoreRange StoreFollower::snapshot(ReadMode mode)
 {
     const std::lock_guard lock(this->mutex);
-    return this->registry.snapshot();
+    return this->registry.snapshot(mode == ReadMode::AllowStale);
+}
+
+StoreChanges StoreFollower::changesSince(StoreRevision after)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->registry.changesSince(after);
+}
+
+bool StoreFollower::isCurrent()
+{
+    return this->relaying.load()
+        && this->health.succeededWithin(RelayFreshness, std::chrono::steady_clock::now());
 }
 
 void StoreFollower::run()
 {
     while (!this->stopping.load()) {
+        if (this->followRelay()) {
+            continue;
+        }
         try {
-            this->follow();
+            this->followStore();
             continue;
         } catch (const Error &error) {
             if (this->stopping.load()) {
@@ -69,65 +88,113 @@
             this->health.failed(error.what(), std::chrono::steady_clock::now());
         }
         this->synchronized = false;
+        this->setRelaying(false);
         this->askPeers();
         this->pause(PeerPeriod);
     }
 }
 
-void StoreFollower::follow()
+bool StoreFollower::followRelay()
 {
-    if (!this->health.isReachable() || !this->synchronized) {
-        this->readAll();
-        return;
+    const auto relay = this->findRelay();
+    if (!relay || std::chrono::steady_clock::now() < this->relayAvoidedUntil) {
+        return false;
+    }
+    this->setRelaying(false);
+    HttpMetadataStore source(*relay, RelayTimeout, [this] { return this->stopping.load(); });
+    try {
+        if (this->synchronized) {
+            this->watch(source, RelayWait);
+        } else {
+            this->readAll(source, "relay", ReadMode::Linearizable);
+        }
+        return true;
+    } catch (const Error &error) {
+        LogLine("relay_lost", LogLevel::Warning)
+            .add("relay", relay->toString())
+            .add("error", error.what());
+        this->relayAvoidedUntil = std::chrono::steady_clock::now() + RelayAvoidTime;
+        return false;
     }
-    this->waitForChanges();
-    this->pause(BatchTime);
 }
 
-void StoreFollower::readAll()
+std::optional<Endpoint> StoreFollower::findRelay()
 {
-    HttpMetadataStore reader(this->options.store, StoreTimeout,
-                             [this] { return this->stopping.load(); });
-    const StoreRange range = reader.range("", ReadMode::Linearizable);
-    const TimePoint now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(this->mutex);
+    // Members come in the order of their ids, which is the same everywhere.
+    for (const Member &member : this->registry.state().members) {
+        if (member.zone == this->options.zone) {
+            const bool own = member.id == this->options.self;
+            return own ? std::nullopt : std::optional(member.agentEndpoint);
+        }
+    }
+    return std::nullopt;
+}
+
+void StoreFollower::followStore()
+{
+    if (!this->synchronized || !this->health.isReachable()) {
+        HttpMetadataStore source(this->options.store, StoreTimeout,
+                                 [this] { return this->stopping.load(); });
+        // The first watch brings what a stale copy lacks, and a stale read costs a tenth.
+        this->readAll(source, "store",
+                      this->everRead ? ReadMode::Linearizable : ReadMode::AllowStale);
+        this->health.succeeded(std::chrono::steady_clock::now());
+    } else {
+        HttpMetadataStore source(this->options.store, StoreTimeout, [this] {
+            return this->stopping.load() || !this->health.isReachable();
+        });
+        this->watch(source, WatchWait);
+        this->pause(BatchTime);
+    }
+    this->setRelaying(!this->findRelay());
+}
+
+void StoreFollower::readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode)
+{
+    const StoreRange range = source.range("", mode);
     const DeletionMeaning meaning = this->meaningOfDeletions();
-    this->health.succeeded(now);
     bool changed = false;
     {
         const std::lock_guard lock(this->mutex);
-        changed = this->registry.replaceAll(range, meaning, now);
+        if (range.asOf < this->registry.revision()) {
+            throw UnavailableError("the copy of the " + std::string(name) + " is older than ours",
+                                   "wait until it has caught up");
+        }
+        changed = this->registry.replaceAll(range, meaning, std::chrono::steady_clock::now());
     }
     this->synchronized = true;
-    LogLine("store_read")
+    this->everRead = true;
+    LogLine("items_read")
+        .add("source", name)
         .add("items", range.items.size())
         .add("revision", range.asOf.value())
         .add("changed", changed);
     this->publish(changed);
 }
 
-void StoreFollower::waitForChanges()
+void StoreFollower::watch(HttpMetadataStore &source, std::chrono::milliseconds longest)
 {
-    const TimePoint before = std::chrono::steady_clock::now();
-    std::chrono::milliseconds wait = WatchWait;
+    std::chrono::milliseconds wait = longest;
     StoreRevision after;
     {
         const std::lock_guard lock(this->mutex);
         after = this->registry.revision();
         if (const auto lapse = this->registry.nextLapse()) {
-            const auto left = std::chrono::ceil<std::chrono::milliseconds>(*lapse - before);
-            wait = std::clamp(left, std::chrono::milliseconds(1), WatchWait);
+            const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+                *lapse - std::chrono::steady_clock::now());
+            wait = std::clamp(left, std::chrono::milliseconds(1), longest);
         }
     }
-    const StoreChanges changes = this->store.watch("", after, wait);
-    const TimePoint now = std::chrono::steady_clock::now();
-    this->health.succeeded(now);
+    const StoreChanges changes = source.watch("", after, wait);
     if (changes.historyLost) {
-        LogLine("store_history_lost", LogLevel::Warning).add("revision", after.value());
+        LogLine("history_lost", LogLevel::Warning).add("revision", after.value());
         this->synchronized = false;
         return;
     }
     bool changed = false;
     {
+        const TimePoint now = std::chrono::steady_clock::now();
         const std::lock_guard lock(this->mutex);
         changed = this->registry.apply(changes, this->meaningOfDeletions(), now);
         changed |= this->registry.dropLapsed(now);
@@ -213,10 +280,20 @@
         }
     }
     if (changed) {
-        this->sink(std::move(state));
+        this->events.stateChanged(std::move(state));
     }
+    // Deletions change nothing here while they may only be lapses, but other entries see them.
+    this->events.copyChanged();
     if (this->synchronized && !registered) {
-        this->ownKeyMissing();
+        this->events.registrationMissing();
+    }
+}
+
+void StoreFollower::setRelaying(bool newRelaying)
+{
+    if (this->relaying.exchange(newRelaying) != newRelaying) {
+        LogLine("relaying_changed").add("relaying", newRelaying);
+        this->events.relayingChanged(newRelaying);
     }
 }
 
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -5,10 +5,9 @@
 #include "gateway/registry.h"
 #include "gateway/storehealth.h"
 #include "platform/httpmetadatastore.h"
-#include "platform/publicports.h"
+#include "platform/snapshotport.h"
 
 #include <atomic>
-#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -20,51 +19,66 @@
     Endpoint store;
     InstanceId self;
     RegionName region; ///< of this entry; its peers are asked first
+    ZoneName zone; ///< of this entry; one entry of each zone follows the store for all
     ZoneRegions regions;
     std::vector<Endpoint> seeds; ///< peers known from the settings
 };
 
+/** What a follower tells the program, on the follower's thread. */
+class FollowerEvents
+{
+public:
+    virtual ~FollowerEvents() = default;
+    virtual void stateChanged(FleetState state) = 0;
+    /** The copy that other entries read has changed. */
+    virtual void copyChanged() = 0;
+    /** The store has no registration of this entry. */
+    virtual void registrationMissing() = 0;
+    /** Whether the entries of the zone follow the store through this one. */
+    virtual void relayingChanged(bool relaying) = 0;
+};
+
 /**
- * Keeps a copy of the store's items up to date on a thread of its own: by a watch, or from other
- * entries while this one cannot reach the store.
+ * Keeps a copy of the store's items up to date on a thread of its own. Calls to the store are paid
+ * for, so in each zone one entry, the relay, watches the store and the others watch its copy. An
+ * entry without a working relay watches the store itself, and asks any other entry while it cannot
+ * reach the store.
  */
 class StoreFollower : public SnapshotSource
 {
 public:
-    using Sink = std::function<void(FleetState)>;
-
-    /**
-     * @param sink takes every new state, on the follower's thread
-     * @param ownKeyMissing called when the store has no registration of this entry
-     */
-    StoreFollower(FollowerOptions options, StoreHealth &health, Sink sink,
-                  std::function<void()> ownKeyMissing);
+    StoreFollower(FollowerOptions options, StoreHealth &health, FollowerEvents &events);
     ~StoreFollower() override;
 
-    StoreRange snapshot() override;
+    StoreRange snapshot(ReadMode mode) override;
+    StoreChanges changesSince(StoreRevision after) override;
+    bool isCurrent() override;
     void stop();
 
 private:
     void run();
-    void follow();
-    void readAll();
-    void waitForChanges();
+    bool followRelay();
+    void followStore();
+    std::optional<Endpoint> findRelay();
+    void readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode);
+    void watch(HttpMetadataStore &source, std::chrono::milliseconds longest);
     void askPeers();
     std::vector<Endpoint> peersInOrder();
     DeletionMeaning meaningOfDeletions() const;
     void publish(bool changed);
+    void setRelaying(bool relaying);
     void pause(Duration time);
-    bool isCancelled() const { return this->stopping.load() || !this->health.isReachable(); }
 
     FollowerOptions options;
     StoreHealth &health;
-    Sink sink;
-    std::function<void()> ownKeyMissing;
-    HttpMetadataStore store;
+    FollowerEvents &events;
     SeededRandom random;
     std::mutex mutex; ///< guards registry
     Registry registry;
-    bool synchronized = false; ///< the registry holds the store's items as of its revision
+    bool synchronized = false; ///< the registry holds all items as of its revision
+    bool everRead = false;
+    std::atomic<bool> relaying{false};
+    TimePoint relayAvoidedUntil;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/src/gateway/storehealth.cpp
+++ b/src/gateway/storehealth.cpp
@@ -7,6 +7,7 @@
 void StoreHealth::succeeded(TimePoint now)
 {
     const std::lock_guard lock(this->mutex);
+    this->lastSuccess = now;
     if (this->reachable) {
         return;
     }
@@ -40,4 +41,10 @@
     return this->everFailed && now - this->lastFailure <= span;
 }
 
+bool StoreHealth::succeededWithin(Duration span, TimePoint now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->reachable && now - this->lastSuccess <= span;
+}
+
 } // namespace bronzeshed
--- a/src/gateway/storehealth.h
+++ b/src/gateway/storehealth.h
@@ -19,12 +19,15 @@
     bool isReachable() const;
     /** Whether a call failed within @p span before @p now. */
     bool failedWithin(Duration span, TimePoint now) const;
+    /** Whether the store is reachable and answered a call within @p span before @p now. */
+    bool succeededWithin(Duration span, TimePoint now) const;
 
 private:
     mutable std::mutex mutex;
     bool reachable = true;
     bool everFailed = false;
     TimePoint lastFailure;
+    TimePoint lastSuccess;
 };
 
 } // namespace bronzeshed
--- a/src/platform/publicports.cpp
+++ b/src/platform/publicports.cpp
@@ -1,7 +1,5 @@
 #include "platform/publicports.h"
 
-#include "platform/storecodec.h"
-
 #include <boost/json.hpp>
 
 namespace bronzeshed {
@@ -43,18 +41,4 @@
         makeTextResponse(ready ? StatusOk : StatusUnavailable, ready ? "ready\n" : "not ready\n"));
 }
 
-void SnapshotPort::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
-{
-    if (request.path() != "/kv-range") {
-        exchange->respond(makeTextResponse(StatusNotFound, "no such path\n"));
-        return;
-    }
-    const StoreRange range = this->source.snapshot();
-    if (range.asOf.value() == 0) {
-        exchange->respond(makeTextResponse(StatusUnavailable, "nothing is known yet\n"));
-        return;
-    }
-    exchange->respond(makeJsonResponse(StatusOk, encodePage(range)));
-}
-
 } // namespace bronzeshed
--- a/src/platform/publicports.h
+++ b/src/platform/publicports.h
@@ -4,7 +4,6 @@
 #include "base/settings.h"
 #include "base/strongid.h"
 #include "http/httpserver.h"
-#include "platform/metadatastore.h"
 
 #include <chrono>
 #include <vector>
@@ -55,31 +54,6 @@
     PublicSource &source;
 };
 
-/** Holds the copy of the store's items that other entries may read. Thread-safe. */
-class SnapshotSource
-{
-public:
-    virtual ~SnapshotSource() = default;
-    virtual StoreRange snapshot() = 0;
-};
-
-/**
- * Serves this entry's copy of the store's items to entries that cannot reach the store, as the
- * store itself would, so that they read it through the same client.
- */
-class SnapshotPort : public HttpHandler
-{
-public:
-    explicit SnapshotPort(SnapshotSource &source)
-        : source(source)
-    {
-    }
-    void handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override;
-
-private:
-    SnapshotSource &source;
-};
-
 } // namespace bronzeshed
 
 #endif
--- /dev/null
+++ b/src/platform/snapshotport.cpp
@@ -0,0 +1,92 @@
+#include "platform/snapshotport.h"
+
+#include "base/parsenumber.h"
+#include "platform/storecodec.h"
+
+namespace bronzeshed {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::uint64_t MaxWaitMs = 30000;
+
+} // namespace
+
+void SnapshotPort::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    const std::string path = request.path();
+    if (path == "/kv-range") {
+        this->handleRange(request, *exchange);
+    } else if (path == "/kv-watch") {
+        this->handleWatch(request, std::move(exchange));
+    } else {
+        exchange->respond(makeTextResponse(StatusNotFound, "no such path\n"));
+    }
+}
+
+void SnapshotPort::handleRange(const HttpRequest &request, HttpExchange &exchange)
+{
+    const bool stale = request.queryValue("allowStale") == "1";
+    const StoreRange range
+        = this->source.snapshot(stale ? ReadMode::AllowStale : ReadMode::Linearizable);
+    if (range.asOf.value() == 0 || (!stale && !this->source.isCurrent())) {
+        exchange.respond(makeTextResponse(StatusUnavailable, "the copy is not current\n"));
+        return;
+    }
+    exchange.respond(makeJsonResponse(StatusOk, encodePage(range)));
+}
+
+void SnapshotPort::handleWatch(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto after = parseNumber(request.queryValue("after"));
+    const auto wait = parseNumber(request.queryValue("waitMs"));
+    if (!after || !wait || *wait > MaxWaitMs) {
+        exchange->respond(makeTextResponse(StatusBadRequest, "give numbers after and waitMs\n"));
+        return;
+    }
+    Watch watch{StoreRevision(*after),
+                std::chrono::steady_clock::now() + std::chrono::milliseconds(*wait),
+                std::move(exchange)};
+    const std::lock_guard lock(this->mutex);
+    if (!this->answer(watch, false)) {
+        this->watches.push_back(std::move(watch));
+    }
+}
+
+bool SnapshotPort::answer(const Watch &watch, bool evenWithoutChanges)
+{
+    if (!this->source.isCurrent()) {
+        watch.exchange->respond(makeTextResponse(StatusUnavailable, "the copy is not current\n"));
+        return true;
+    }
+    const StoreChanges changes = this->source.changesSince(watch.after);
+    if (changes.historyLost) {
+        watch.exchange->respond(makeTextResponse(StatusGone, "read the range anew\n"));
+        return true;
+    }
+    if (changes.events.empty() && !evenWithoutChanges) {
+        return false;
+    }
+    watch.exchange->respond(makeJsonResponse(StatusOk, encodeChanges(changes)));
+    return true;
+}
+
+void SnapshotPort::copyChanged()
+{
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->watches, [this](const Watch &watch) { return this->answer(watch, false); });
+}
+
+void SnapshotPort::expireWatches(TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->watches, [&](const Watch &watch) {
+        return watch.end <= now && this->answer(watch, true);
+    });
+}
+
+} // namespace bronzeshed
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -77,6 +77,11 @@
     return item;
 }
 
+json::object writeItem(const StoreItem &item)
+{
+    return {{"key", item.key}, {"value", encodeValue(item.value)}, {"rev", item.revision.value()}};
+}
+
 const json::array &readArray(const json::object &object, const char *name)
 {
     const json::value *value = object.if_contains(name);
@@ -104,8 +109,7 @@
 {
     json::array items;
     for (const StoreItem &item : range.items) {
-        items.push_back(json::object{
-            {"key", item.key}, {"value", encodeValue(item.value)}, {"rev", item.revision.value()}});
+        items.push_back(writeItem(item));
     }
     return json::serialize(json::object{
         {"items", std::move(items)}, {"hasMore", false}, {"asOf", range.asOf.value()}});
@@ -125,6 +129,21 @@
     return changes;
 }
 
+std::string encodeChanges(const StoreChanges &changes)
+{
+    json::array events;
+    for (const StoreEvent &event : changes.events) {
+        if (event.deleted) {
+            events.push_back(json::object{
+                {"key", event.item.key}, {"rev", event.item.revision.value()}, {"deleted", true}});
+        } else {
+            events.push_back(writeItem(event.item));
+        }
+    }
+    return json::serialize(
+        json::object{{"events", std::move(events)}, {"asOf", changes.asOf.value()}});
+}
+
 LeaseId decodeLease(std::string_view body)
 {
     return LeaseId(readNumber(parseObject(body), "lease"));
--- a/src/platform/storecodec.h
+++ b/src/platform/storecodec.h
@@ -22,6 +22,8 @@
 /** @throws ProtocolError if @p body is not a list of events */
 StoreChanges decodeChanges(std::string_view body);
 
+std::string encodeChanges(const StoreChanges &changes);
+
 /** @throws ProtocolError if @p body names no lease */
 LeaseId decodeLease(std::string_view body);
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -235,9 +235,11 @@
         return false;
     }
     call.surveyed = true;
-    const SharedUpstreamPolicy order(this->clock);
+    // One time for all costs: an order that changes while sorting is none.
+    const TimePoint now = this->clock.now();
     auto views = this->candidates(call);
-    const auto isIdeal = [&](const UpstreamView *view) { return order.isIdeal(*view); };
+    const auto isIdeal
+        = [&](const UpstreamView *view) { return SharedUpstreamPolicy::isIdeal(*view, now); };
     if (views.size() < 2 || std::any_of(views.begin(), views.end(), isIdeal)) {
         return false;
     }
@@ -245,10 +247,10 @@
     for (std::size_t i = views.size() - 1; i > 0; --i) {
         std::swap(views[i], views[this->random.below(i + 1)]);
     }
-    std::stable_sort(views.begin(), views.end(),
-                     [&](const UpstreamView *left, const UpstreamView *right) {
-                         return order.cost(*left) < order.cost(*right);
-                     });
+    std::stable_sort(
+        views.begin(), views.end(), [&](const UpstreamView *left, const UpstreamView *right) {
+            return SharedUpstreamPolicy::cost(*left, now) < SharedUpstreamPolicy::cost(*right, now);
+        });
     views.resize(std::min<std::size_t>(views.size(), this->options.loadQueriesPerCall));
     std::vector<UpstreamInfo> asked;
     for (const UpstreamView *view : views) {
@@ -426,8 +428,8 @@
         return;
     }
     const UpstreamView *view = this->upstreams.loadReported(id, load);
-    const SharedUpstreamPolicy order(this->clock);
-    this->loadSurvey.queryEnded(id, view != nullptr && order.isIdeal(*view));
+    const bool ideal = view != nullptr && SharedUpstreamPolicy::isIdeal(*view, this->clock.now());
+    this->loadSurvey.queryEnded(id, ideal);
 }
 
 void Dispatcher::expire(CallId id)
--- a/src/routing/sharedupstreampolicy.cpp
+++ b/src/routing/sharedupstreampolicy.cpp
@@ -28,9 +28,9 @@
 
 } // namespace
 
-double SharedUpstreamPolicy::cost(const UpstreamView &view) const
+double SharedUpstreamPolicy::cost(const UpstreamView &view, TimePoint now)
 {
-    const bool known = view.load && this->clock.now() - view.loadAt <= MaxReportAge;
+    const bool known = view.load && now - view.loadAt <= MaxReportAge;
     double factor = known ? view.load->workTimePercent / Percent : UnknownSlowdown;
     const unsigned slots = std::max(1U, view.slots);
     const unsigned ahead = known ? view.estimatedRequests() : view.outstanding;
@@ -42,25 +42,26 @@
         factor *= 1.0 + static_cast<double>(ahead - slots + 1) / slots;
     }
     factor *= view.cold ? ColdSlowdown : 1.0;
-    const bool silent = view.silentAt && this->clock.now() - *view.silentAt <= SilentTime;
+    const bool silent = view.silentAt && now - *view.silentAt <= SilentTime;
     factor *= silent ? SilentFactor : 1.0;
     factor *= view.sameZone ? 1.0 : OtherZoneFactor;
     factor *= view.sameRegion ? 1.0 : OtherRegionFactor;
     return factor;
 }
 
-bool SharedUpstreamPolicy::isIdeal(const UpstreamView &view) const
+bool SharedUpstreamPolicy::isIdeal(const UpstreamView &view, TimePoint now)
 {
-    return view.load && this->clock.now() - view.loadAt <= FreshReport
-        && view.estimatedRequests() == 0 && view.load->workTimePercent <= IdealWorkTimePercent
-        && !view.cold && !view.silentAt && !view.trial && view.sameZone;
+    return view.load && now - view.loadAt <= FreshReport && view.estimatedRequests() == 0
+        && view.load->workTimePercent <= IdealWorkTimePercent && !view.cold && !view.silentAt
+        && !view.trial && view.sameZone;
 }
 
 UpstreamView *SharedUpstreamPolicy::choose(const std::vector<UpstreamView *> &candidates,
                                            Random &random)
 {
+    const TimePoint now = this->clock.now();
     return chooseCheapest(candidates, random,
-                          [this](const UpstreamView &view) { return this->cost(view); });
+                          [now](const UpstreamView &view) { return cost(view, now); });
 }
 
 } // namespace bronzeshed
--- a/src/routing/sharedupstreampolicy.h
+++ b/src/routing/sharedupstreampolicy.h
@@ -20,9 +20,9 @@
     UpstreamView *choose(const std::vector<UpstreamView *> &candidates, Random &random) override;
 
     /** Expected time of a call there, as a multiple of the usual time on an idle upstream. */
-    double cost(const UpstreamView &view) const;
+    static double cost(const UpstreamView &view, TimePoint now);
     /** Whether no other upstream can be clearly better: idle, recently reported, at usual speed. */
-    bool isIdeal(const UpstreamView &view) const;
+    static bool isIdeal(const UpstreamView &view, TimePoint now);
 
 private:
     const Clock &clock;
--- a/tests/routing/sharedupstreamtest.cpp
+++ b/tests/routing/sharedupstreamtest.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+/** Load reports are recent or out of date at random, as if time passed between two looks. */
+struct JumpingClock : Clock
+{
+    TimePoint now() const override { return TimePoint(1h + (this->random.below(2) * 1s)); }
+
+    mutable SeededRandom random{3};
+};
+
 /** A dispatcher that shares upstreams "a", "b" and "c" with other entries. */
 struct SharedFixture
 {
@@ -151,6 +159,34 @@
     BOOST_TEST(fixture.output.orders[0].upstream.id.value() == "b");
 }
 
+// Guards against a crash: a clock that moves between two looks made the order of the upstreams
+// inconsistent, and the sort left its range.
+BOOST_AUTO_TEST_CASE(upstreams_are_ordered_as_of_one_time)
+{
+    constexpr int Upstreams = 200;
+    JumpingClock clock;
+    SeededRandom random{7};
+    TimerService timers;
+    RecordingOutput output;
+    output.canProbe = true;
+    Dispatcher dispatcher(clock, random, timers, output,
+                          std::make_unique<SharedUpstreamPolicy>(clock), SharedFixture::options(3));
+    const SharedFixture fixture;
+    std::vector<UpstreamInfo> infos;
+    for (int i = 0; i < Upstreams; ++i) {
+        infos.push_back(DispatcherFixture::upstream(std::to_string(i)));
+    }
+    dispatcher.update(fixture.declaration, infos);
+    for (std::uint64_t round = 1; round <= 500; ++round) {
+        for (const UpstreamInfo &info : infos) {
+            const auto percent = static_cast<unsigned>(100 + random.below(300));
+            dispatcher.probeEnded(info.id, true, LoadReport{2, 0, 2, percent});
+        }
+        dispatcher.admit({CallId(round), ClassName("reads"), 1h, 0, 0});
+    }
+    BOOST_TEST(output.probes.size() >= 3U);
+}
+
 // Guards against shares that differ from the declared weights.
 BOOST_AUTO_TEST_CASE(a_split_follows_its_weights)
 {
