--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds StoreTimeout{1000};
 /** Half of the time that the store lets a watch wait. */
 constexpr std::chrono::milliseconds WatchWait{15000};
+/** A watch that begins while the store drops its history may miss changes and not be cut. */
+constexpr std::chrono::milliseconds TroubledWatchWait{500};
+constexpr std::chrono::seconds TroubledTime{5}; ///< after a failure or a lost history
 /** Changes within this time share one call of the watch, since each call is paid for. */
 constexpr std::chrono::milliseconds BatchTime{700};
 /** A watch at a relay is this short so that a relay that stopped is noticed soon. */
@@ -89,6 +92,7 @@
         }
         this->synchronized = false;
         this->setRelaying(false);
+        this->troubledUntil = std::chrono::steady_clock::now() + TroubledTime;
         this->askPeers();
         this->pause(PeerPeriod);
     }
@@ -113,7 +117,9 @@
         LogLine("relay_lost", LogLevel::Warning)
             .add("relay", relay->toString())
             .add("error", error.what());
-        this->relayAvoidedUntil = std::chrono::steady_clock::now() + RelayAvoidTime;
+        const TimePoint now = std::chrono::steady_clock::now();
+        this->relayAvoidedUntil = now + RelayAvoidTime;
+        this->troubledUntil = now + TroubledTime;
         return false;
     }
 }
@@ -144,7 +150,8 @@
         HttpMetadataStore source(this->options.store, StoreTimeout, [this] {
             return this->stopping.load() || !this->health.isReachable();
         });
-        this->watch(source, WatchWait);
+        const bool troubled = std::chrono::steady_clock::now() < this->troubledUntil;
+        this->watch(source, troubled ? TroubledWatchWait : WatchWait);
         this->pause(BatchTime);
     }
     this->setRelaying(!this->findRelay());
@@ -190,6 +197,7 @@
     if (changes.historyLost) {
         LogLine("history_lost", LogLevel::Warning).add("revision", after.value());
         this->synchronized = false;
+        this->troubledUntil = std::chrono::steady_clock::now() + TroubledTime;
         return;
     }
     bool changed = false;
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -77,6 +77,7 @@
     Registry registry;
     bool synchronized = false; ///< the registry holds all items as of its revision
     bool everRead = false;
+    TimePoint troubledUntil; ///< watches are short before this time
     std::atomic<bool> relaying{false};
     TimePoint relayAvoidedUntil;
     std::atomic<bool> stopping{false};
