--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
 #include <glog/logging.h>
 #include <iomanip>
+#include <unistd.h>
 
 namespace bronzeshed {
 
@@ -73,4 +77,14 @@
     google::InstallFailureSignalHandler();
 }
 
+void logToStandardOutput()
+{
+    FLAGS_logtostderr = false;
+    FLAGS_logtostdout = true;
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags < 0 || ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0) {
+        LogLine("log_may_block", LogLevel::Warning).add("error", std::strerror(errno));
+    }
+}
+
 } // namespace bronzeshed
--- a/src/base/logline.h
+++ b/src/base/logline.h
@@ -44,6 +44,12 @@
  */
 void initLogging(const char *program);
 
+/**
+ * Sends the log to standard output from now on. Lines are lost rather than that the program waits
+ * for their reader.
+ */
+void logToStandardOutput();
+
 } // namespace bronzeshed
 
 #endif
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -78,6 +78,11 @@
     std::signal(SIGHUP, SIG_IGN);
     SignalMonitor signals;
     GatewayProcess gateway(readOptions(settings));
+    std::cout << "listening " << gateway.callerEndpoint().toString() << "\n"
+              << "lookups-listening " << gateway.lookupEndpoint().toString() << "\n"
+              << "readiness-listening " << gateway.readinessEndpoint().toString() << "\n"
+              << "admin-listening " << gateway.adminEndpoint().toString() << std::endl;
+    logToStandardOutput();
     LogLine("started")
         .add("instance", settings.text("instance"))
         .add("callers", gateway.callerEndpoint().toString())
--- /dev/null
+++ b/tests/gateway/gatewayworld.cpp
@@ -0,0 +1,149 @@
+#include "gatewayworld.h"
+
+#include "http/httpclient.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bronzeshed {
+
+namespace {
+
+/** A port that was free a moment ago; members announce the address they were told to use. */
+std::string freeEndpoint()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    ::bind(socket, generic, size);
+    ::getsockname(socket, generic, &size);
+    ::close(socket);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+std::string rule(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return R"({"name":")" + name + R"(","kind":")" + kind
+        + R"(","targetLatencyMs":200,"priority":0,"match":{"prefix":"/)" + name
+        + R"(/"},"action":{"service":")" + service + R"(","timeoutMs":2000,"maxAttempts":2}})";
+}
+
+std::string cluster(const std::string &name)
+{
+    return R"({"name":")" + name
+        + R"(","healthPath":"/health","maxConns":100,"protocol":"h1","tls":false})";
+}
+
+} // namespace
+
+GatewayWorld::GatewayWorld(unsigned gatewayCount, unsigned upstreamsPerService)
+    : store(clock)
+    , storeTimers(store)
+{
+    for (unsigned i = 0; i < 2 * upstreamsPerService; ++i) {
+        const std::string service = i < upstreamsPerService ? "reads" : "orders";
+        this->upstreams.push_back(std::make_unique<RegisteredUpstream>(
+            service + "-" + std::to_string(i), this->clock, this->runs));
+        this->registerUpstream(*this->upstreams.back(), "ready");
+    }
+    this->configure();
+    for (unsigned i = 0; i < gatewayCount; ++i) {
+        this->addGateway("gateway-" + std::to_string(i));
+    }
+    waitFor([&] {
+        unsigned ready = 0;
+        for (const TestGateway &gateway : this->gateways) {
+            const bool configured = statusOf(gateway.readiness, "/readiness") == 200;
+            const auto body = call(gateway.lookups, "GET", "/resolve?region=r&zone=z", "").body;
+            const auto entries = std::count(body.begin(), body.end(), ':') - 2;
+            ready += configured && entries == gatewayCount ? 1 : 0;
+        }
+        return ready == gatewayCount;
+    });
+}
+
+void GatewayWorld::addGateway(const std::string &id)
+{
+    TestGateway gateway;
+    gateway.id = id;
+    gateway.storePort = std::make_unique<FaultyStorePort>(this->store);
+    gateway.store
+        = std::make_unique<HttpServer>(Endpoint{"127.0.0.1", 0}, HttpLimits{}, *gateway.storePort);
+    const std::string any = "127.0.0.1:0";
+    gateway.flags = {"--instance",      id,
+                     "--region",        "r",
+                     "--zone",          "z",
+                     "--zones",         "z=r",
+                     "--listen",        freeEndpoint(),
+                     "--ready-listen",  any,
+                     "--lookup-listen", any,
+                     "--peer-listen",   freeEndpoint(),
+                     "--store",         gateway.store->localEndpoint().toString(),
+                     "--grace-ms",      "4000"};
+    this->start(gateway);
+    this->gateways.push_back(std::move(gateway));
+}
+
+void GatewayWorld::start(TestGateway &gateway) const
+{
+    gateway.process = std::make_unique<ChildProcess>("bronzeshed-gateway", gateway.flags);
+    gateway.callers = gateway.process->endpoint();
+    gateway.lookups = gateway.process->address("lookups-listening");
+    gateway.readiness = gateway.process->address("readiness-listening");
+}
+
+void GatewayWorld::configure(bool extraRoute)
+{
+    this->version += 2;
+    std::string rules = rule("reads", "safe", "reads") + "," + rule("orders", "unsafe", "orders");
+    if (extraRoute) {
+        rules += "," + rule("extra", "safe", "reads");
+    }
+    this->store.put(
+        "op/config",
+        R"({"version":"r)" + std::to_string(this->version)
+            + R"(","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,)"
+            + R"("idleTimeoutMs":15000},"listeners":[{"host":"h.example","rules":[)" + rules
+            + R"(]}],"clusters":[)" + cluster("reads") + "," + cluster("orders") + "]}");
+}
+
+void GatewayWorld::registerUpstream(const RegisteredUpstream &upstream, const std::string &state)
+{
+    this->store.put("servers/" + upstream.id(),
+                    upstream.registration(this->serviceOf(upstream), "z", state));
+}
+
+std::string GatewayWorld::serviceOf(const RegisteredUpstream &upstream) const
+{
+    return upstream.id().substr(0, upstream.id().find('-'));
+}
+
+HttpResponse GatewayWorld::call(const Endpoint &gateway, const std::string &method,
+                                const std::string &path, const std::string &requestId,
+                                std::chrono::milliseconds timeLeft)
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = path;
+    request.authority = "h.example";
+    request.headers.add("X-Bronzeshed-Request-Id", requestId);
+    request.headers.add("X-Bronzeshed-Request-Deadline-Ms", std::to_string(timeLeft.count()));
+    try {
+        return sendHttpRequest(gateway, request, timeLeft + std::chrono::seconds(1));
+    } catch (const HttpClientError &) {
+        HttpResponse none;
+        none.status = 0;
+        return none;
+    }
+}
+
+unsigned GatewayWorld::statusOf(const Endpoint &endpoint, const std::string &path)
+{
+    return call(endpoint, "GET", path, "").status;
+}
+
+} // namespace bronzeshed
--- /dev/null
+++ b/tests/gateway/registeredupstream.cpp
@@ -0,0 +1,87 @@
+#include "registeredupstream.h"
+
+namespace bronzeshed {
+
+void RunLog::add(const std::string &requestId, const std::string &upstream)
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->byRequest[requestId];
+    ++this->byUpstream[upstream];
+}
+
+unsigned RunLog::count(const std::string &requestId)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->byRequest[requestId];
+}
+
+unsigned RunLog::countAt(const std::string &upstream)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->byUpstream[upstream];
+}
+
+RegisteredUpstream::RegisteredUpstream(std::string id, const Clock &clock, RunLog &runs)
+    : TimedHandler(clock)
+    , name(std::move(id))
+    , runs(runs)
+    , server({"127.0.0.1", 0}, HttpLimits{}, *this)
+    , thread(*this)
+{
+}
+
+void RegisteredUpstream::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    if (request.path() == "/health") {
+        HttpResponse health = makeTextResponse(200, "");
+        health.headers.add("X-Bronzeshed-Instance-Id", this->name);
+        health.headers.add("X-Bronzeshed-Server-Load", "0,0,2,100");
+        exchange->respond(std::move(health));
+        return;
+    }
+    const std::string id = request.headers.find("X-Bronzeshed-Request-Id").value_or("");
+    const auto expected = request.headers.find("X-Bronzeshed-Expected-Instance");
+    if (expected && *expected != this->name) {
+        exchange->respond(makeTextResponse(421, ""));
+        return;
+    }
+    const UpstreamFault current = this->fault.load();
+    if (current == UpstreamFault::Shed) {
+        HttpResponse refusal = makeTextResponse(503, "");
+        refusal.headers.add("X-Bronzeshed-Not-Executed", "1");
+        exchange->respond(std::move(refusal));
+        return;
+    }
+    this->runs.add(id, this->name);
+    const std::lock_guard lock(this->mutex);
+    this->after(this->work.load(), [this, id, current, exchange] {
+        if (current == UpstreamFault::LoseAnswer) {
+            exchange->drop();
+        } else {
+            exchange->respond(this->answer(id, current == UpstreamFault::Error ? 500 : 200));
+        }
+    });
+}
+
+HttpResponse RegisteredUpstream::answer(const std::string &requestId, unsigned status) const
+{
+    HttpResponse response = makeTextResponse(status, bodyOf(requestId));
+    response.headers.add("X-Bronzeshed-Request-Id", requestId);
+    response.headers.add("X-Bronzeshed-Server-Signature", this->name + "." + requestId);
+    return response;
+}
+
+std::string RegisteredUpstream::bodyOf(const std::string &requestId)
+{
+    return "answer to " + requestId;
+}
+
+std::string RegisteredUpstream::registration(const std::string &service, const std::string &zone,
+                                             const std::string &state) const
+{
+    return R"({"address":")" + this->endpoint().toString() + R"(","info":{"service":")" + service
+        + R"(","version":"v1","zone":")" + zone + R"(","slots":2},"status":{"state":")" + state
+        + R"(","seq":1,"warmupLeftMs":0},"born":1})";
+}
+
+} // namespace bronzeshed
