--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_no_more_work)
 {
     GatewayWorld world(2, 2);
-    world.registerUpstream(*world.upstreams[0], "draining");
+    world.registerUpstream(0, "draining");
     std::this_thread::sleep_for(ConfigLimit);
     const unsigned before = world.runs.countAt("reads-0");
     for (int i = 0; i < 40; ++i) {
--- a/tests/gateway/gatewayworld.cpp
+++ b/tests/gateway/gatewayworld.cpp
@@ -48,7 +48,8 @@
         const std::string service = i < upstreamsPerService ? "reads" : "orders";
         this->upstreams.push_back(std::make_unique<RegisteredUpstream>(
             service + "-" + std::to_string(i), this->clock, this->runs));
-        this->registerUpstream(*this->upstreams.back(), "ready");
+        this->proxies.push_back(std::make_unique<FaultyProxy>(this->upstreams.back()->endpoint()));
+        this->registerUpstream(i, "ready");
     }
     this->configure();
     for (unsigned i = 0; i < gatewayCount; ++i) {
@@ -91,7 +92,10 @@
 void GatewayWorld::start(TestGateway &gateway) const
 {
     gateway.process = std::make_unique<ChildProcess>("bronzeshed-gateway", gateway.flags);
-    gateway.callers = gateway.process->endpoint();
+    // Callers on other threads read the address, which a restart does not change.
+    if (gateway.callers != gateway.process->endpoint()) {
+        gateway.callers = gateway.process->endpoint();
+    }
     gateway.lookups = gateway.process->address("lookups-listening");
     gateway.readiness = gateway.process->address("readiness-listening");
 }
@@ -111,13 +115,15 @@
             + R"(]}],"clusters":[)" + cluster("reads") + "," + cluster("orders") + "]}");
 }
 
-void GatewayWorld::registerUpstream(const RegisteredUpstream &upstream, const std::string &state)
+void GatewayWorld::registerUpstream(std::size_t number, const std::string &state)
 {
+    const RegisteredUpstream &upstream = *this->upstreams[number];
+    const Endpoint address = this->proxies[number]->endpoint();
     this->store.put("servers/" + upstream.id(),
-                    upstream.registration(this->serviceOf(upstream), "z", state));
+                    upstream.registration(address, serviceOf(upstream), "z", state));
 }
 
-std::string GatewayWorld::serviceOf(const RegisteredUpstream &upstream) const
+std::string GatewayWorld::serviceOf(const RegisteredUpstream &upstream)
 {
     return upstream.id().substr(0, upstream.id().find('-'));
 }
--- a/tests/gateway/gatewayworld.h
+++ b/tests/gateway/gatewayworld.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_TESTS_GATEWAYWORLD_H
 
 #include "../processes/childprocess.h"
+#include "faultyproxy.h"
 #include "registeredupstream.h"
 
 #include <memory>
@@ -40,19 +41,21 @@
                              const std::string &path, const std::string &requestId,
                              std::chrono::milliseconds timeLeft = std::chrono::milliseconds(2000));
     static unsigned statusOf(const Endpoint &endpoint, const std::string &path);
-    void registerUpstream(const RegisteredUpstream &upstream, const std::string &state);
+    /** Writes the registration of an upstream; its address is that of its proxy. */
+    void registerUpstream(std::size_t number, const std::string &state);
 
     SystemClock clock;
     RunLog runs;
     MetadataStoreStandin store;
     TimerThread storeTimers;
     std::vector<std::unique_ptr<RegisteredUpstream>> upstreams; ///< of reads, then of orders
+    std::vector<std::unique_ptr<FaultyProxy>> proxies; ///< one before each upstream
     std::vector<TestGateway> gateways;
     unsigned version = 0;
 
 private:
     void addGateway(const std::string &id);
-    std::string serviceOf(const RegisteredUpstream &upstream) const;
+    static std::string serviceOf(const RegisteredUpstream &upstream);
 };
 
 } // namespace bronzeshed
--- a/tests/gateway/registeredupstream.cpp
+++ b/tests/gateway/registeredupstream.cpp
@@ -76,10 +76,10 @@
     return "answer to " + requestId;
 }
 
-std::string RegisteredUpstream::registration(const std::string &service, const std::string &zone,
-                                             const std::string &state) const
+std::string RegisteredUpstream::registration(const Endpoint &address, const std::string &service,
+                                             const std::string &zone, const std::string &state)
 {
-    return R"({"address":")" + this->endpoint().toString() + R"(","info":{"service":")" + service
+    return R"({"address":")" + address.toString() + R"(","info":{"service":")" + service
         + R"(","version":"v1","zone":")" + zone + R"(","slots":2},"status":{"state":")" + state
         + R"(","seq":1,"warmupLeftMs":0},"born":1})";
 }
--- a/tests/gateway/registeredupstream.h
+++ b/tests/gateway/registeredupstream.h
@@ -46,8 +46,8 @@
     void setFault(UpstreamFault newFault) { this->fault.store(newFault); }
     void setWork(std::chrono::milliseconds time) { this->work.store(time); }
     /** Its registration in the store. */
-    std::string registration(const std::string &service, const std::string &zone,
-                             const std::string &state) const;
+    static std::string registration(const Endpoint &address, const std::string &service,
+                                    const std::string &zone, const std::string &state);
     /** The body of its answer to a request. */
     static std::string bodyOf(const std::string &requestId);
 
--- /dev/null
+++ b/tests/http/responserulestest.cpp
@@ -0,0 +1,90 @@
+#include "http/connectionpool.h"
+
+#include "rawpeer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace bronzeshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string answer(const std::string &id, const std::string &body, const std::string &headers = {})
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + headers
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ExchangeResult send(ConnectionPool &pool, const RawServer &server, AttemptId id)
+{
+    std::promise<ExchangeResult> promise;
+    const ResponseRules rules{"Id", "mine", true};
+    pool.send(
+        id, server.endpoint(), HttpRequest{}, ConnectionUse::AnyIdle, 5s,
+        [&](ExchangeResult end) { promise.set_value(std::move(end)); }, rules);
+    return promise.get_future().get();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(response_rules)
+
+// Guards against a caller that gets the late answer to another request, and against further use of
+// the connection on which it came.
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_skipped)
+{
+    RawServer server(
+        [](std::size_t) { return RawReply{answer("other", "wrong") + answer("mine", "right")}; });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    for (const std::uint64_t number : {1U, 2U}) {
+        const ExchangeResult result = send(pool, server, AttemptId(number));
+        BOOST_CHECK(result.status == ExchangeStatus::Answered);
+        BOOST_TEST(result.response.body == "right");
+    }
+    BOOST_TEST(server.requests() == (std::vector<std::size_t>{0, 1}),
+               boost::test_tools::per_element());
+}
+
+// Guards against a caller that waits for an answer after a server is out of step.
+BOOST_AUTO_TEST_CASE(a_server_out_of_step_fails_the_exchange)
+{
+    RawServer server([](std::size_t) {
+        const std::string stray = answer("other", "wrong");
+        return RawReply{stray + stray + stray + stray};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    BOOST_CHECK(send(pool, server, AttemptId(1)).status == ExchangeStatus::Failed);
+}
+
+// Guards against losing whole answers that end with their connection, and against taking one that
+// was cut off with a length for whole.
+BOOST_AUTO_TEST_CASE(an_answer_may_end_with_its_connection)
+{
+    RawServer unframed([](std::size_t) {
+        return RawReply{"HTTP/1.1 200 OK\r\nId: mine\r\n\r\nall of it", RawReply::Close};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    const ExchangeResult whole = send(pool, unframed, AttemptId(1));
+    BOOST_CHECK(whole.status == ExchangeStatus::Answered);
+    BOOST_TEST(whole.response.body == "all of it");
+    RawServer cut([](std::size_t) {
+        return RawReply{"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 99\r\n\r\npart",
+                        RawReply::Close};
+    });
+    BOOST_CHECK(send(pool, cut, AttemptId(2)).status == ExchangeStatus::Failed);
+}
+
+// Guards against a request on a connection that the server is about to close.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_used_beyond_its_stated_time)
+{
+    RawServer server(
+        [](std::size_t) { return RawReply{answer("mine", "x", "Keep-Alive: timeout=1\r\n")}; });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    send(pool, server, AttemptId(1));
+    send(pool, server, AttemptId(2));
+    BOOST_TEST(server.requests() == (std::vector<std::size_t>{0, 1}),
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/configurationtest.cpp
@@ -0,0 +1,94 @@
+#include "platform/configuration.h"
+#include "base/error.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Limits = R"("limits":{"maxHeaderBytes":100,"maxBodyBytes":200,)"
+                           R"("headerTimeoutMs":300,"idleTimeoutMs":400})";
+const std::string Clusters = R"("clusters":[{"name":"s1","healthPath":"/h1"},)"
+                             R"({"name":"s2","healthPath":"/h2"}])";
+
+std::string rule(const std::string &destination, const std::string &prefix = "/a/",
+                 const std::string &kind = "unsafe")
+{
+    return R"({"name":"route","kind":")" + kind
+        + R"(","targetLatencyMs":200,"priority":1,"match":{"prefix":")" + prefix
+        + R"("},"action":{)" + destination + R"(,"timeoutMs":800,"maxAttempts":2}})";
+}
+
+std::string configuration(const std::string &rules, const std::string &version = "r7")
+{
+    return R"({"version":")" + version + "\"," + Limits + R"(,"listeners":[{"host":"h","rules":[)"
+        + rules + "]}]," + Clusters + "}";
+}
+
+const std::string ToService = R"("service":"s1")";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_of_the_platform)
+
+// Guards against targets, limits or services that are taken for others.
+BOOST_AUTO_TEST_CASE(routes_become_classes)
+{
+    const VersionedDeclaration parsed = parseConfiguration(configuration(rule(ToService)));
+    BOOST_TEST(parsed.version.value() == 7U);
+    const Declaration &declaration = parsed.declaration;
+    const ClassName *name = declaration.routes.find("h", "/a/b");
+    BOOST_REQUIRE(name != nullptr);
+    const ClassTarget &target = declaration.classes.at(*name);
+    BOOST_TEST(target.service.value() == "s1");
+    BOOST_CHECK(target.answerWithin == 200ms);
+    BOOST_CHECK(target.deadline == 800ms);
+    BOOST_TEST(target.maxAttempts == 2U);
+    BOOST_TEST(target.priority == 1U);
+    BOOST_TEST(!target.repeatable);
+    BOOST_TEST(declaration.traits.at(ServiceName("s2")).healthPath == "/h2");
+    BOOST_TEST(declaration.callerLimits.headerBytes == 100U);
+    BOOST_TEST(declaration.callerLimits.bodyBytes == 200U);
+    BOOST_CHECK(declaration.callerLimits.headerTimeout == 300ms);
+    BOOST_CHECK(declaration.callerLimits.idleTimeout == 400ms);
+    const std::string split
+        = R"("trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}])";
+    const auto divided = parseConfiguration(configuration(rule(split, "/a/", "safe"))).declaration;
+    const ClassTarget &shared = divided.classes.at(ClassName("route"));
+    BOOST_TEST(shared.repeatable);
+    BOOST_REQUIRE(shared.split.size() == 2U);
+    BOOST_TEST(shared.split[1].weight == 10);
+}
+
+// Guards against two routes of one name that take each other's target.
+BOOST_AUTO_TEST_CASE(routes_of_one_name_are_told_apart)
+{
+    const auto parsed = parseConfiguration(
+        configuration(rule(ToService) + "," + rule(R"("service":"s2")", "/b/")));
+    const auto &declaration = parsed.declaration;
+    const auto serviceOf = [&](const char *path) {
+        return declaration.classes.at(*declaration.routes.find("h", path)).service.value();
+    };
+    BOOST_TEST(serviceOf("/a/") == "s1");
+    BOOST_TEST(serviceOf("/b/") == "s2");
+}
+
+// Guards against a malformed configuration that takes the place of the one in force.
+BOOST_AUTO_TEST_CASE(malformed_configurations_are_rejected)
+{
+    const std::string good = configuration(rule(ToService));
+    for (const std::string &bad :
+         {good.substr(0, good.size() / 2), std::string("7"), std::string("{}"),
+          configuration(rule(ToService), "7"), configuration(rule(ToService), "rx"),
+          configuration(rule(R"("service":"unknown")")), configuration(rule(R"("other":1)")),
+          configuration(rule(ToService, "a/")), configuration(rule(ToService, "/a")),
+          configuration(rule(ToService, "/a/", "odd")),
+          configuration(rule(R"("trafficSplit":[{"service":"s1","weight":0}])")),
+          configuration(rule(R"("trafficSplit":[{"service":"s1","weight":"x"}])"))}) {
+        BOOST_CHECK_THROW(parseConfiguration(bad), DeclarationError);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/registrationtest.cpp
@@ -0,0 +1,57 @@
+#include "platform/registration.h"
+#include "base/error.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bronzeshed;
+
+namespace {
+
+const ZoneRegions Zones{{ZoneName("z1"), RegionName("r1")}};
+
+std::string entry(const std::string &state = "ready", const std::string &slots = "2",
+                  const std::string &extra = "")
+{
+    return R"({"address":"10.0.0.9:8080","info":{"service":"s","version":"v1","zone":"z1","slots":)"
+        + slots + R"(},"status":{"state":")" + state + R"(","seq":4,"warmupLeftMs":7})" + extra
+        + "}";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(registration)
+
+// Guards against fields that are taken for others or lost.
+BOOST_AUTO_TEST_CASE(all_fields_are_decoded)
+{
+    const UpstreamInfo info
+        = parseRegistration("i-1", entry("draining", "3", R"(,"born":1700000000123)"), Zones);
+    BOOST_TEST(info.id.value() == "i-1");
+    BOOST_TEST(info.service.value() == "s");
+    BOOST_TEST(info.zone.value() == "z1");
+    BOOST_TEST(info.region.value() == "r1");
+    BOOST_TEST(info.endpoint.toString() == "10.0.0.9:8080");
+    BOOST_TEST(info.slots == 3U);
+    BOOST_TEST(info.leaving);
+    BOOST_TEST(info.warmingUp);
+    BOOST_TEST(info.startedAtMs == 1700000000123);
+    BOOST_TEST(!parseRegistration("i-1", entry(), Zones).leaving);
+}
+
+// Guards against an entry of another writer that names an upstream to use.
+BOOST_AUTO_TEST_CASE(malformed_entries_name_no_upstream)
+{
+    for (const std::string &bad :
+         {std::string(), std::string("\xff\x00", 2), std::string("[]"), std::string("{}"),
+          entry("asleep"), entry("ready", "\"2\""), entry("ready", "-1"),
+          entry("ready", "2", R"(,"born":"x")"), entry("ready", "2", R"(,"born":1.5)"),
+          std::string(R"({"address":7,"info":{},"status":{}})"),
+          std::string(R"({"address":"10.0.0.9","info":{"service":"s","zone":"z1","slots":2},)"
+                      R"("status":{"state":"ready","warmupLeftMs":0}})"),
+          std::string(R"({"address":"10.0.0.9:1","info":{"service":"s","zone":"zz","slots":2},)"
+                      R"("status":{"state":"ready","warmupLeftMs":0}})")}) {
+        BOOST_CHECK_THROW(parseRegistration("i-1", bad, Zones), ProtocolError);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
