--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -64,9 +64,9 @@
            {wakeup, callerRing, departureRing, attemptRing, probeRing, upstreams, metrics})
     , loopThread([this] { this->loop.run(); })
     , registrar(given.store, this->self(), health)
-    , snapshotPort(follower)
     , follower({given.store, given.instance, given.region, given.zone, given.regions, given.seeds},
                health, *this)
+    , snapshotPort(follower)
     , lookupPort(*this)
     , lookups(given.lookups, HttpLimits{}, lookupPort)
     , readinessPort(*this)
@@ -75,6 +75,7 @@
     , adminPort(*this)
     , admin(given.admin, HttpLimits{}, adminPort)
 {
+    this->follower.start();
 }
 
 GatewayProcess::~GatewayProcess()
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -88,8 +88,8 @@
     CallerLimits limitsInForce;
     StoreHealth health;
     Registrar registrar;
-    SnapshotPort snapshotPort;
     StoreFollower follower;
+    SnapshotPort snapshotPort;
     LookupPort lookupPort;
     HttpServer lookups;
     ReadinessPort readinessPort;
--- a/src/gateway/registrar.cpp
+++ b/src/gateway/registrar.cpp
@@ -9,9 +9,9 @@
 
 constexpr std::chrono::milliseconds StoreTimeout{1000};
 /** Callers are sent to an entry at most this long after it died. */
-constexpr std::chrono::milliseconds LeaseTime{3000};
-/** Two renewals may fail before the lease ends. */
-constexpr std::chrono::milliseconds RenewPeriod{1000};
+constexpr std::chrono::milliseconds LeaseTime{3500};
+/** One renewal may fail before the lease ends. */
+constexpr std::chrono::milliseconds RenewPeriod{1500};
 /** Renewals of an entry on which others rely. */
 constexpr std::chrono::milliseconds RelayRenewPeriod{400};
 /** The watch shows a registration only some time after it was written. */
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds WatchWait{15000};
 /** A watch that begins while the store drops its history may miss changes and not be cut. */
 constexpr std::chrono::milliseconds TroubledWatchWait{500};
+/** A call that only finds out whether the store is back. */
+constexpr std::chrono::milliseconds TrialWait{1};
 constexpr std::chrono::seconds TroubledTime{5}; ///< after a failure or a lost history
 /** Changes within this time share one call of the watch, since each call is paid for. */
 constexpr std::chrono::milliseconds BatchTime{700};
@@ -27,6 +29,8 @@
 /** An instance without the store must learn of changes within a few seconds. */
 constexpr std::chrono::milliseconds PeerPeriod{500};
 constexpr std::chrono::milliseconds PeerTimeout{300};
+/** The answer of a peer without news comes at once. */
+constexpr std::chrono::milliseconds PeerWait{0};
 constexpr std::size_t PeersPerRound = 2;
 /** Keys that vanish so soon after an outage may only have lapsed. */
 constexpr std::chrono::seconds LapseWindow{4};
@@ -40,7 +44,6 @@
     , events(events)
     , random(makeSystemRandom())
     , registry(this->options.regions)
-    , thread([this] { this->run(); })
 {
 }
 
@@ -49,6 +52,11 @@
     this->stop();
 }
 
+void StoreFollower::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
 void StoreFollower::stop()
 {
     this->stopping.store(true);
@@ -90,7 +98,6 @@
             }
             this->health.failed(error.what(), std::chrono::steady_clock::now());
         }
-        this->synchronized = false;
         this->setRelaying(false);
         this->troubledUntil = std::chrono::steady_clock::now() + TroubledTime;
         this->askPeers();
@@ -139,21 +146,21 @@
 
 void StoreFollower::followStore()
 {
-    if (!this->synchronized || !this->health.isReachable()) {
-        HttpMetadataStore source(this->options.store, StoreTimeout,
-                                 [this] { return this->stopping.load(); });
+    const bool reachable = this->health.isReachable();
+    HttpMetadataStore source(this->options.store, StoreTimeout, [this, reachable] {
+        return this->stopping.load() || (reachable && !this->health.isReachable());
+    });
+    if (!this->synchronized) {
         // The first watch brings what a stale copy lacks, and a stale read costs a tenth.
-        this->readAll(source, "store",
-                      this->everRead ? ReadMode::Linearizable : ReadMode::AllowStale);
-        this->health.succeeded(std::chrono::steady_clock::now());
+        const bool first = this->snapshot(ReadMode::AllowStale).asOf.value() == 0;
+        this->readAll(source, "store", first ? ReadMode::AllowStale : ReadMode::Linearizable);
     } else {
-        HttpMetadataStore source(this->options.store, StoreTimeout, [this] {
-            return this->stopping.load() || !this->health.isReachable();
-        });
         const bool troubled = std::chrono::steady_clock::now() < this->troubledUntil;
-        this->watch(source, troubled ? TroubledWatchWait : WatchWait);
+        const auto wait = troubled ? TroubledWatchWait : WatchWait;
+        this->watch(source, reachable ? wait : TrialWait);
         this->pause(BatchTime);
     }
+    this->health.succeeded(std::chrono::steady_clock::now());
     this->setRelaying(!this->findRelay());
 }
 
@@ -171,7 +178,6 @@
         changed = this->registry.replaceAll(range, meaning, std::chrono::steady_clock::now());
     }
     this->synchronized = true;
-    this->everRead = true;
     LogLine("items_read")
         .add("source", name)
         .add("items", range.items.size())
@@ -193,7 +199,7 @@
             wait = std::clamp(left, std::chrono::milliseconds(1), longest);
         }
     }
-    const StoreChanges changes = source.watch("", after, wait);
+    const StoreChanges changes = source.watch("", after, wait, ReadMode::Linearizable);
     if (changes.historyLost) {
         LogLine("history_lost", LogLevel::Warning).add("revision", after.value());
         this->synchronized = false;
@@ -225,23 +231,7 @@
             return;
         }
         try {
-            HttpMetadataStore copy(peer, PeerTimeout, [this] { return this->stopping.load(); });
-            const StoreRange range = copy.range("", ReadMode::AllowStale);
-            bool changed = false;
-            {
-                const std::lock_guard lock(this->mutex);
-                if (range.asOf < this->registry.revision()) {
-                    continue;
-                }
-                changed = this->registry.replaceAll(range, DeletionMeaning::Final,
-                                                    std::chrono::steady_clock::now());
-            }
-            this->publish(changed);
-            if (changed) {
-                LogLine("peer_read")
-                    .add("peer", peer.toString())
-                    .add("revision", range.asOf.value());
-            }
+            this->readCopy(peer);
             return;
         } catch (const Error &error) {
             LogLine("peer_failed", LogLevel::Warning)
@@ -251,6 +241,41 @@
     }
 }
 
+void StoreFollower::readCopy(const Endpoint &peer)
+{
+    HttpMetadataStore copy(peer, PeerTimeout, [this] { return this->stopping.load(); });
+    StoreRevision before;
+    {
+        const std::lock_guard lock(this->mutex);
+        before = this->registry.revision();
+    }
+    StoreChanges changes;
+    changes.historyLost = before.value() == 0;
+    if (!changes.historyLost) {
+        changes = copy.watch("", before, PeerWait, ReadMode::AllowStale);
+    }
+    StoreRange range;
+    if (changes.historyLost) {
+        range = copy.range("", ReadMode::AllowStale);
+    }
+    bool changed = false;
+    {
+        const TimePoint now = std::chrono::steady_clock::now();
+        const std::lock_guard lock(this->mutex);
+        if (!changes.historyLost) {
+            changed = this->registry.apply(changes, DeletionMeaning::Final, now);
+        } else if (range.asOf >= before) {
+            changed = this->registry.replaceAll(range, DeletionMeaning::Final, now);
+            this->synchronized = true;
+        }
+        changed |= this->registry.dropLapsed(now);
+    }
+    this->publish(changed);
+    if (changed) {
+        LogLine("peer_read").add("peer", peer.toString()).add("after", before.value());
+    }
+}
+
 std::vector<Endpoint> StoreFollower::peersInOrder()
 {
     std::vector<Member> members;
@@ -266,6 +291,7 @@
         return member.region == this->options.region;
     });
     std::vector<Endpoint> peers;
+    peers.reserve(members.size());
     for (const Member &member : members) {
         peers.push_back(member.agentEndpoint);
     }
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -53,6 +53,8 @@
     StoreRange snapshot(ReadMode mode) override;
     StoreChanges changesSince(StoreRevision after) override;
     bool isCurrent() override;
+    /** Starts the thread. */
+    void start();
     void stop();
 
 private:
@@ -63,6 +65,7 @@
     void readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode);
     void watch(HttpMetadataStore &source, std::chrono::milliseconds longest);
     void askPeers();
+    void readCopy(const Endpoint &peer);
     std::vector<Endpoint> peersInOrder();
     DeletionMeaning meaningOfDeletions() const;
     void publish(bool changed);
@@ -76,7 +79,6 @@
     std::mutex mutex; ///< guards registry
     Registry registry;
     bool synchronized = false; ///< the registry holds all items as of its revision
-    bool everRead = false;
     TimePoint troubledUntil; ///< watches are short before this time
     std::atomic<bool> relaying{false};
     TimePoint relayAvoidedUntil;
--- a/src/platform/httpmetadatastore.cpp
+++ b/src/platform/httpmetadatastore.cpp
@@ -89,10 +89,11 @@
 }
 
 StoreChanges HttpMetadataStore::watch(const std::string &prefix, StoreRevision after,
-                                      std::chrono::milliseconds wait)
+                                      std::chrono::milliseconds wait, ReadMode mode)
 {
-    const std::string target = "/kv-watch?prefix=" + encodeQuery(prefix)
-        + "&after=" + std::to_string(after.value()) + "&waitMs=" + std::to_string(wait.count());
+    const std::string stale = mode == ReadMode::AllowStale ? "&allowStale=1" : "";
+    const std::string target = "/kv-watch?prefix=" + encodeQuery(prefix) + "&after="
+        + std::to_string(after.value()) + "&waitMs=" + std::to_string(wait.count()) + stale;
     const HttpResponse response = this->call("GET", target, {}, wait);
     if (response.status == StatusGone) {
         StoreChanges lost;
--- a/src/platform/httpmetadatastore.h
+++ b/src/platform/httpmetadatastore.h
@@ -22,7 +22,7 @@
 
     StoreRange range(const std::string &prefix, ReadMode mode) override;
     StoreChanges watch(const std::string &prefix, StoreRevision after,
-                       std::chrono::milliseconds wait) override;
+                       std::chrono::milliseconds wait, ReadMode mode) override;
     LeaseId grantLease(std::chrono::milliseconds timeToLive) override;
     bool renewLease(LeaseId lease) override;
     void endLease(LeaseId lease) override;
--- a/src/platform/metadatastore.h
+++ b/src/platform/metadatastore.h
@@ -61,9 +61,12 @@
 
     /** All items whose key begins with @p prefix. */
     virtual StoreRange range(const std::string &prefix, ReadMode mode) = 0;
-    /** Waits at most @p wait for changes after @p after. */
+    /**
+     * Waits at most @p wait for changes after @p after.
+     * @param mode AllowStale takes the changes of a copy that does not follow the store
+     */
     virtual StoreChanges watch(const std::string &prefix, StoreRevision after,
-                               std::chrono::milliseconds wait)
+                               std::chrono::milliseconds wait, ReadMode mode)
         = 0;
     virtual LeaseId grantLease(std::chrono::milliseconds timeToLive) = 0;
     /** @return false if the lease has ended */
--- a/src/platform/snapshotport.cpp
+++ b/src/platform/snapshotport.cpp
@@ -50,7 +50,7 @@
     }
     Watch watch{StoreRevision(*after),
                 std::chrono::steady_clock::now() + std::chrono::milliseconds(*wait),
-                std::move(exchange)};
+                request.queryValue("allowStale") == "1", std::move(exchange)};
     const std::lock_guard lock(this->mutex);
     if (!this->answer(watch, false)) {
         this->watches.push_back(std::move(watch));
@@ -59,7 +59,7 @@
 
 bool SnapshotPort::answer(const Watch &watch, bool evenWithoutChanges)
 {
-    if (!this->source.isCurrent()) {
+    if (!watch.stale && !this->source.isCurrent()) {
         watch.exchange->respond(makeTextResponse(StatusUnavailable, "the copy is not current\n"));
         return true;
     }
--- a/src/platform/snapshotport.h
+++ b/src/platform/snapshotport.h
@@ -48,6 +48,7 @@
     {
         StoreRevision after;
         TimePoint end;
+        bool stale = false; ///< takes a copy that does not follow the store
         std::shared_ptr<HttpExchange> exchange;
     };
 
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -253,6 +253,7 @@
         });
     views.resize(std::min<std::size_t>(views.size(), this->options.loadQueriesPerCall));
     std::vector<UpstreamInfo> asked;
+    asked.reserve(views.size());
     for (const UpstreamView *view : views) {
         asked.push_back(view->info);
     }
--- a/tests/gateway/gatewayworld.cpp
+++ b/tests/gateway/gatewayworld.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace bronzeshed {
@@ -19,8 +20,9 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     auto *generic = reinterpret_cast<sockaddr *>(&address);
-    ::bind(socket, generic, size);
-    ::getsockname(socket, generic, &size);
+    if (::bind(socket, generic, size) != 0 || ::getsockname(socket, generic, &size) != 0) {
+        throw std::system_error(errno, std::generic_category(), "bind");
+    }
     ::close(socket);
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
--- a/tests/http/httpclienttest.cpp
+++ b/tests/http/httpclienttest.cpp
@@ -26,11 +26,13 @@
         auto *generic = reinterpret_cast<sockaddr *>(&address);
         BOOST_REQUIRE(::bind(this->sockets.front(), generic, size) == 0);
         BOOST_REQUIRE(::listen(this->sockets.front(), 0) == 0);
-        ::getsockname(this->sockets.front(), generic, &size);
+        BOOST_REQUIRE(::getsockname(this->sockets.front(), generic, &size) == 0);
         this->endpoint = {"127.0.0.1", ntohs(address.sin_port)};
         for (int i = 0; i < 4; ++i) {
             this->sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-            ::connect(this->sockets.back(), generic, size);
+            // The first ones are accepted, the others hang as those under test will.
+            const int result = ::connect(this->sockets.back(), generic, size);
+            BOOST_REQUIRE((result == 0 || errno == EINPROGRESS));
         }
     }
     ~UnreachableServer()
--- a/tests/routing/sharedupstreamtest.cpp
+++ b/tests/routing/sharedupstreamtest.cpp
@@ -51,6 +51,7 @@
     void update(const std::vector<std::string> &ids)
     {
         std::vector<UpstreamInfo> infos;
+        infos.reserve(ids.size());
         for (const std::string &id : ids) {
             infos.push_back(DispatcherFixture::upstream(id));
         }
@@ -173,6 +174,7 @@
                           std::make_unique<SharedUpstreamPolicy>(clock), SharedFixture::options(3));
     const SharedFixture fixture;
     std::vector<UpstreamInfo> infos;
+    infos.reserve(Upstreams);
     for (int i = 0; i < Upstreams; ++i) {
         infos.push_back(DispatcherFixture::upstream(std::to_string(i)));
     }
