Leave the ledger's remedies out of the gateway's refusals

A 504 told callers to repeat the call under its id to learn the outcome, which needs the ledger; on the users' platform the repeat would run the request again.

--- a/src/entry/callmetrics.cpp
+++ b/src/entry/callmetrics.cpp
@@ -28,10 +28,12 @@
 
 } // namespace
 
-CallMetrics::CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion)
+CallMetrics::CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion,
+                         UnknownRepeats repeats)
     : hub(hub)
     , clock(clock)
     , ownRegion(std::move(ownRegion))
+    , repeats(repeats)
 {
 }
 
@@ -85,7 +87,7 @@
     if (target != nullptr) {
         this->countCall(*target, outcome, measured.latency);
     }
-    if (outcome == Outcome::Unknown) {
+    if (outcome == Outcome::Unknown && this->repeats == UnknownRepeats::Safe) {
         LogLine("call_outcome_unknown", LogLevel::Warning)
             .add("class", measured.className.value())
             .add("caller", headers.caller.value())
--- a/src/entry/callmetrics.h
+++ b/src/entry/callmetrics.h
@@ -11,11 +11,18 @@
 
 namespace bronzeshed {
 
+/** Whether a caller may repeat a call of unknown outcome under its id. */
+enum class UnknownRepeats {
+    Safe, ///< a ledger keeps the call from a second run; the log says so
+    Unsafe, ///< there is no ledger
+};
+
 /** Turns what happens to calls and attempts into metrics and log lines. Decision thread only. */
 class CallMetrics
 {
 public:
-    CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion);
+    CallMetrics(MetricsHub &hub, const Clock &clock, RegionName ownRegion,
+                UnknownRepeats repeats = UnknownRepeats::Safe);
 
     void attemptStarted(const AttemptOrder &order, std::size_t requestBytes);
     void attemptEnded(AttemptId id, const AttemptReport &report, std::size_t responseBytes);
@@ -52,6 +59,7 @@
     MetricsHub &hub;
     const Clock &clock;
     RegionName ownRegion;
+    UnknownRepeats repeats;
     std::unordered_map<AttemptId, Running> running;
     std::unordered_map<ClassName, Watched> watched; ///< declared classes only, so it is bounded
 };
--- a/src/gateway/gatewayloop.cpp
+++ b/src/gateway/gatewayloop.cpp
@@ -17,6 +17,15 @@
 /** An instance that stops or has no configuration yet is not the one to come back to at once. */
 constexpr std::chrono::milliseconds UnavailableDelay{100};
 
+/** A refusal without the remedies that need the ledger: a repeat of an unknown call may run it. */
+HttpResponse makeGatewayRefusal(Outcome outcome, Reason reason)
+{
+    HttpResponse response = makeRefusal(outcome, reason);
+    response.headers.remove("Bronzeshed-Remedy");
+    response.body = std::string(reasonName(reason)) + "\n";
+    return response;
+}
+
 std::chrono::milliseconds retryDelay(Reason reason)
 {
     const bool unavailable = reason == Reason::NoConfiguration || reason == Reason::Draining;
@@ -31,7 +40,7 @@
     , random(makeSystemRandom())
     , dispatcher(this->clock, this->random, this->timers, *this,
                  std::make_unique<SharedUpstreamPolicy>(this->clock), options.dispatcher)
-    , metrics(ports.metrics, this->clock, options.dispatcher.region)
+    , metrics(ports.metrics, this->clock, options.dispatcher.region, UnknownRepeats::Unsafe)
     , log(this->clock)
 {
 }
@@ -202,7 +211,7 @@
         response = std::move(this->winningResponse);
         removeUpstreamHeaders(response);
     } else {
-        response = makeRefusal(outcome, reason);
+        response = makeGatewayRefusal(outcome, reason);
     }
     this->finish(call.headers, call.arrival, call.attempts, outcome, reason, *call.exchange,
                  std::move(response));
@@ -212,7 +221,7 @@
                          Reason reason)
 {
     this->finish(headers, event.arrival, 0, outcome, reason, *event.exchange,
-                 makeRefusal(outcome, reason));
+                 makeGatewayRefusal(outcome, reason));
 }
 
 void GatewayLoop::finish(const CallHeaders &headers, TimePoint arrival, unsigned attempts,
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -82,8 +82,8 @@
     }
 }
 
-// Guards against a second run of an order whose answer was lost, and against a promise that it did
-// not run.
+// Guards against a second run of an order whose answer was lost, against a promise that it did not
+// run, and against a remedy that asks the caller to repeat it.
 BOOST_AUTO_TEST_CASE(an_order_with_a_lost_answer_is_not_repeated)
 {
     GatewayWorld world(1, 2);
@@ -93,6 +93,7 @@
     const HttpResponse lost
         = GatewayWorld::call(world.gateways[0].callers, "POST", "/orders/a", "o1");
     BOOST_TEST(lost.status == 504U);
+    BOOST_TEST(!lost.headers.find("Bronzeshed-Remedy").has_value());
     BOOST_TEST(world.runs.count("o1") == 1U);
     GatewayWorld::call(world.gateways[0].callers, "GET", "/reads/a", "r1");
     BOOST_TEST(world.runs.count("r1") == 2U);
