--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -81,6 +82,11 @@
 {
     FLAGS_logtostderr = false;
     FLAGS_logtostdout = true;
+    // By default a pipe is written in blocks, which come late and are cut in mid-line when it is
+    // full.
+    if (std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ) != 0) {
+        LogLine("log_may_be_late", LogLevel::Warning);
+    }
     const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
     if (flags < 0 || ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0) {
         LogLine("log_may_block", LogLevel::Warning).add("error", std::strerror(errno));
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -76,13 +76,13 @@
 {
     // The settings are read at the start only; without this the signal would end the process.
     std::signal(SIGHUP, SIG_IGN);
+    logToStandardOutput();
     SignalMonitor signals;
     GatewayProcess gateway(readOptions(settings));
     std::cout << "listening " << gateway.callerEndpoint().toString() << "\n"
               << "lookups-listening " << gateway.lookupEndpoint().toString() << "\n"
               << "readiness-listening " << gateway.readinessEndpoint().toString() << "\n"
               << "admin-listening " << gateway.adminEndpoint().toString() << std::endl;
-    logToStandardOutput();
     LogLine("started")
         .add("instance", settings.text("instance"))
         .add("callers", gateway.callerEndpoint().toString())
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -167,4 +167,14 @@
     BOOST_TEST(servesWithin(gateway.callers, "/reads/a", 5s));
 }
 
+// Guards against log lines that come only when a block of them is full: the last ones before a
+// crash would be missing.
+BOOST_AUTO_TEST_CASE(a_decision_is_logged_at_once)
+{
+    GatewayWorld world(1, 1);
+    GatewayWorld::call(world.gateways[0].callers, "GET", "/reads/a", "logged-1");
+    ChildProcess &process = *world.gateways[0].process;
+    BOOST_TEST(process.waitForLine("event=call_finished request_id=logged-1 ", 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/processes/childprocess.cpp
+++ b/tests/processes/childprocess.cpp
@@ -74,6 +74,21 @@
     }
 }
 
+bool ChildProcess::waitForLine(const std::string &expected, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        const auto found = this->text.find(expected);
+        if (found != std::string::npos && this->text.find('\n', found) != std::string::npos) {
+            return true;
+        }
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+        this->readMore(PollPeriod);
+    }
+}
+
 bool ChildProcess::readMore(std::chrono::milliseconds limit)
 {
     pollfd entry{this->output.get(), POLLIN, 0};
--- a/tests/processes/childprocess.h
+++ b/tests/processes/childprocess.h
@@ -29,6 +29,9 @@
     /** The address on the output line "LABEL ADDRESS"; waits for the line. */
     Endpoint address(const std::string &label);
 
+    /** Waits until the output has a line that contains @p expected. @return whether it came */
+    bool waitForLine(const std::string &expected, std::chrono::milliseconds limit);
+
     /** Sends a signal unless the process has ended. */
     void signal(int number);
 
