--- a/src/gateway/registry.h
+++ b/src/gateway/registry.h
@@ -62,6 +62,8 @@
 
     StoreRevision revision() const { return this->asOf; }
     bool hasMember(const InstanceId &id) const { return this->members.contains(id); }
+    /** The registered entries in the order of their ids. */
+    const std::map<InstanceId, Member> &listedMembers() const { return this->members; }
     FleetState state() const;
     /** All items, those that may only have lapsed included or not. */
     StoreRange snapshot(bool withLapsed) const;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -135,9 +135,9 @@
 {
     const std::lock_guard lock(this->mutex);
     // Members come in the order of their ids, which is the same everywhere.
-    for (const Member &member : this->registry.state().members) {
+    for (const auto &[id, member] : this->registry.listedMembers()) {
         if (member.zone == this->options.zone) {
-            const bool own = member.id == this->options.self;
+            const bool own = id == this->options.self;
             return own ? std::nullopt : std::optional(member.agentEndpoint);
         }
     }
@@ -281,9 +281,12 @@
     std::vector<Member> members;
     {
         const std::lock_guard lock(this->mutex);
-        members = this->registry.state().members;
+        for (const auto &[id, member] : this->registry.listedMembers()) {
+            if (id != this->options.self) {
+                members.push_back(member);
+            }
+        }
     }
-    std::erase_if(members, [&](const Member &member) { return member.id == this->options.self; });
     for (std::size_t i = members.size(); i > 1; --i) {
         std::swap(members[i - 1], members[this->random.below(i)]);
     }
