Refuse what shared upstreams can only answer late, look further before that, and try reads elsewhere after a server error

Change: the dispatcher learns each class's work time from calls on upstreams of all speeds. A call that all asked upstreams would answer clearly late is asked for at other upstreams once more, and then refused with a Retry-After; a class whose service also has classes of a lower rank is not refused. A read whose upstream answered with a server error is tried once more in the budget.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -99,6 +99,7 @@
     loopOptions.dispatcher.zone = this->options.zone;
     loopOptions.dispatcher.maxCalls = MaxCalls;
     loopOptions.dispatcher.sharedUpstreams = true;
+    loopOptions.dispatcher.retryServerErrors = true;
     loopOptions.dispatcher.loadQueriesPerCall = this->options.loadQueries;
     loopOptions.fleetRepeatBurst = this->options.fleetRepeatBurst;
     return loopOptions;
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -247,7 +247,11 @@
     OpenAttempt attempt;
     attempt.call = call.id;
     attempt.service = call.target.service;
+    attempt.className = call.target.name;
     attempt.answerWithin = call.target.answerWithin;
+    if (this->options.sharedUpstreams && SharedUpstreamPolicy::isKnown(view, this->clock.now())) {
+        attempt.slowdown = SharedUpstreamPolicy::slowdown(view, this->clock.now());
+    }
     attempt.ownRegion = view.sameRegion;
     attempt.place = this->upstreams.startAttempt(view);
     this->attempts.emplace(this->lastAttempt, attempt);
@@ -280,7 +284,8 @@
         return;
     }
     OpenCall &call = *found->second;
-    if (call.running.size() != 1 || !this->services[call.target.service].queue.isEmpty()) {
+    if (call.running.size() != 1 || call.attempts >= call.target.maxAttempts
+        || !this->services[call.target.service].queue.isEmpty()) {
         return;
     }
     auto views = this->candidates(call);
@@ -306,12 +311,15 @@
     const auto time = this->upstreams.attemptEnded(attempt.place, report, attempt.answerWithin);
     if (time && report.isSuccess() && attempt.ownRegion) {
         this->services[attempt.service].times.record(*time, now);
+        if (attempt.slowdown > 0) {
+            this->workTimes[attempt.className].record(*time, attempt.slowdown, now);
+        }
     }
     const auto call = this->calls.find(attempt.call);
     if (call != this->calls.end()) {
         std::erase(call->second->running, id);
         if (report.status == AttemptStatus::Answered) {
-            this->finish(*call->second, Outcome::Answered, Reason::None, id);
+            this->takeAnswer(*call->second, id, report);
         } else {
             const bool queuedThere = attempt.place.queued.has_value();
             this->attemptFailed(*call->second, report, queuedThere);
@@ -320,6 +328,27 @@
     this->startWaiting(attempt.service);
 }
 
+void Dispatcher::takeAnswer(OpenCall &call, AttemptId id, const AttemptReport &report)
+{
+    const bool giveUp
+        = report.isSuccess() || !this->options.retryServerErrors || !call.target.repeatable;
+    if (giveUp || (call.running.empty() && !this->spendRetry(call))) {
+        this->finish(call, Outcome::Answered, Reason::None, id);
+        return;
+    }
+    call.mayHaveRun = true;
+    call.lastReason = Reason::UpstreamFailed;
+    if (call.running.empty()) {
+        this->enqueue(call);
+    }
+}
+
+bool Dispatcher::spendRetry(const OpenCall &call)
+{
+    return call.attempts < call.target.maxAttempts && this->clock.now() < call.deadline
+        && this->budgetsOf(call.target.name).retries.trySpend();
+}
+
 void Dispatcher::attemptFailed(OpenCall &call, const AttemptReport &report, bool queuedThere)
 {
     if (queuedThere && report.status == AttemptStatus::NotStarted && call.running.empty()) {
@@ -343,8 +372,7 @@
         return;
     }
     const bool mayRepeat = call.target.repeatable || !call.mayHaveRun;
-    if (!mayRepeat || call.attempts >= call.target.maxAttempts || this->clock.now() >= call.deadline
-        || !this->budgetsOf(call.target.name).retries.trySpend()) {
+    if (!mayRepeat || !this->spendRetry(call)) {
         this->finish(call, call.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, call.lastReason,
                      {});
         return;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -17,6 +17,7 @@
 #include "routing/selectionpolicy.h"
 #include "routing/servicetimeestimate.h"
 #include "routing/upstreamset.h"
+#include "routing/worktimeestimate.h"
 
 #include <map>
 #include <memory>
@@ -106,12 +107,18 @@
     void startWaiting(const ServiceName &service);
     bool startQueued(OpenCall &call);
     bool survey(OpenCall &call);
+    bool isExpectedLate(const OpenCall &call, const UpstreamView &view, double tolerance) const;
+    bool mayRefuse(const OpenCall &call) const;
     void placeSurveyed(CallId id);
     void place(OpenCall &call);
     ServiceName drawService(const ClassTarget &target);
     void startAttempt(OpenCall &call, UpstreamView &view, bool hedge);
     void armHedge(const OpenCall &call, const UpstreamView &view);
     void hedge(CallId id);
+    /** Passes on an answer, or tries elsewhere after a server error. */
+    void takeAnswer(OpenCall &call, AttemptId id, const AttemptReport &report);
+    /** Spends a permit of the retry budget, if the call has attempts and time left. */
+    bool spendRetry(const OpenCall &call);
     /** @param queuedThere whether the attempt went out above the upstream's slots */
     void attemptFailed(OpenCall &call, const AttemptReport &report, bool queuedThere);
     void expire(CallId id);
@@ -136,6 +143,7 @@
     std::unordered_map<AttemptId, OpenAttempt> attempts;
     std::map<ServiceName, Service> services;
     std::map<ClassName, ClassBudgets> budgets;
+    std::map<ClassName, WorkTimeEstimate> workTimes; ///< at shared upstreams only
     AttemptId lastAttempt;
     bool dispatchAllowed = true;
 };
--- a/src/routing/dispatcheroptions.h
+++ b/src/routing/dispatcheroptions.h
@@ -21,6 +21,8 @@
     bool sharedUpstreams = false;
     /** Upstreams asked for their load before a call is placed; 0 asks none. */
     unsigned loadQueriesPerCall = 0;
+    /** Whether repeatable calls are tried elsewhere after an answer with a server error. */
+    bool retryServerErrors = false;
 };
 
 } // namespace bronzeshed
--- a/src/routing/dispatcherplacement.cpp
+++ b/src/routing/dispatcherplacement.cpp
@@ -8,23 +8,40 @@
 
 namespace bronzeshed {
 
+namespace {
+
+/** Rounds of load queries for a call; the second one if the first found no upstream in time. */
+constexpr unsigned MaxSurveys = 2;
+/** Multiple of its target that a call may be expected to take before it is refused. */
+constexpr double LateTolerance = 1.25;
+
+} // namespace
+
 bool Dispatcher::survey(OpenCall &call)
 {
-    if (call.surveyed || this->options.loadQueriesPerCall == 0) {
+    if (call.surveys >= MaxSurveys || this->options.loadQueriesPerCall == 0) {
         return false;
     }
-    call.surveyed = true;
     // One time for all costs: an order that changes while sorting is none.
     const TimePoint now = this->clock.now();
     auto views = this->candidates(call);
-    const auto isIdeal
-        = [&](const UpstreamView *view) { return SharedUpstreamPolicy::isIdeal(*view, now); };
-    if (views.size() < 2 || std::any_of(views.begin(), views.end(), isIdeal)) {
+    const auto endsSearch = [&](const UpstreamView *view) {
+        return call.surveys == 0
+            ? SharedUpstreamPolicy::isIdeal(*view, now)
+            : SharedUpstreamPolicy::isKnown(*view, now) && !this->isExpectedLate(call, *view, 1.0);
+    };
+    if (views.size() < 2 || std::any_of(views.begin(), views.end(), endsSearch)) {
         return false;
     }
+    if (call.surveys > 0) {
+        std::erase_if(views, [&](const UpstreamView *view) {
+            return view->load && now - view->loadAt <= LoadSurvey::MaxWait;
+        });
+    }
+    ++call.surveys;
     // Shuffled, so that upstreams of equal cost are asked in turn.
-    for (std::size_t i = views.size() - 1; i > 0; --i) {
-        std::swap(views[i], views[this->random.below(i + 1)]);
+    for (std::size_t i = views.size(); i > 1; --i) {
+        std::swap(views[i - 1], views[this->random.below(i)]);
     }
     std::stable_sort(
         views.begin(), views.end(), [&](const UpstreamView *left, const UpstreamView *right) {
@@ -42,7 +59,7 @@
 void Dispatcher::placeSurveyed(CallId id)
 {
     const auto found = this->calls.find(id);
-    if (found != this->calls.end()) {
+    if (found != this->calls.end() && !this->survey(*found->second)) {
         this->place(*found->second);
     }
 }
@@ -54,10 +71,37 @@
         this->abandon(call, Reason::NoUpstream);
         return;
     }
+    if (this->mayRefuse(call) && this->isExpectedLate(call, *view, LateTolerance)) {
+        this->abandon(call, Reason::QueueFull);
+        return;
+    }
     this->startAttempt(call, *view, false);
     this->armHedge(call, *view);
 }
 
+bool Dispatcher::isExpectedLate(const OpenCall &call, const UpstreamView &view,
+                                double tolerance) const
+{
+    const TimePoint now = this->clock.now();
+    const auto times = this->workTimes.find(call.target.name);
+    if (times == this->workTimes.end()) {
+        return false;
+    }
+    const auto expected = times->second.expected(SharedUpstreamPolicy::slowdown(view, now), now);
+    return expected && *expected > call.target.answerWithin * tolerance;
+}
+
+bool Dispatcher::mayRefuse(const OpenCall &call) const
+{
+    // Calls of a lower rank make room at the same service.
+    return !call.mayHaveRun
+        && std::none_of(this->declaration.classes.begin(), this->declaration.classes.end(),
+                        [&](const auto &entry) {
+                            return entry.second.priority > call.target.priority
+                                && entry.second.service == call.target.service;
+                        });
+}
+
 ServiceName Dispatcher::drawService(const ClassTarget &target)
 {
     double total = 0;
--- a/src/routing/opencall.h
+++ b/src/routing/opencall.h
@@ -20,7 +20,7 @@
     unsigned attempts = 0;
     bool mayHaveRun = false; ///< an attempt ended with an unknown effect
     bool queued = false;
-    bool surveyed = false; ///< the load of upstreams was asked for this call
+    unsigned surveys = 0; ///< how often upstreams were asked for their load for this call
     std::vector<AttemptId> running; ///< at most an attempt and its hedge
     std::vector<UpstreamId> tried;
     Reason lastReason = Reason::DeadlinePassed;
@@ -31,7 +31,9 @@
 {
     CallId call;
     ServiceName service;
+    ClassName className;
     std::chrono::milliseconds answerWithin{0};
+    double slowdown = 0; ///< expected of the upstream by its report; 0 if that was not known
     bool ownRegion = true;
     AttemptPlace place;
 };
--- a/src/routing/sharedupstreampolicy.cpp
+++ b/src/routing/sharedupstreampolicy.cpp
@@ -28,9 +28,14 @@
 
 } // namespace
 
-double SharedUpstreamPolicy::cost(const UpstreamView &view, TimePoint now)
+bool SharedUpstreamPolicy::isKnown(const UpstreamView &view, TimePoint now)
+{
+    return view.load && now - view.loadAt <= MaxReportAge;
+}
+
+double SharedUpstreamPolicy::slowdown(const UpstreamView &view, TimePoint now)
 {
-    const bool known = view.load && now - view.loadAt <= MaxReportAge;
+    const bool known = isKnown(view, now);
     double factor = known ? view.load->workTimePercent / Percent : UnknownSlowdown;
     const unsigned slots = std::max(1U, view.slots);
     const unsigned ahead = known ? view.estimatedRequests() : view.outstanding;
@@ -41,7 +46,12 @@
         // One slot becomes free every (service time / slots).
         factor *= 1.0 + static_cast<double>(ahead - slots + 1) / slots;
     }
-    factor *= view.cold ? ColdSlowdown : 1.0;
+    return factor * (view.cold ? ColdSlowdown : 1.0);
+}
+
+double SharedUpstreamPolicy::cost(const UpstreamView &view, TimePoint now)
+{
+    double factor = slowdown(view, now);
     const bool silent = view.silentAt && now - *view.silentAt <= SilentTime;
     factor *= silent ? SilentFactor : 1.0;
     factor *= view.sameZone ? 1.0 : OtherZoneFactor;
--- a/tests/routing/sharedupstreamtest.cpp
+++ b/tests/routing/sharedupstreamtest.cpp
@@ -45,6 +45,7 @@
         options.zone = ZoneName("a");
         options.sharedUpstreams = true;
         options.loadQueriesPerCall = loadQueries;
+        options.retryServerErrors = true;
         return options;
     }
 
@@ -65,6 +66,48 @@
         return this->lastCall;
     }
 
+    void setRank(const char *className, unsigned priority)
+    {
+        this->declaration.classes.at(ClassName(className)).priority = priority;
+        this->update({"a", "b", "c"});
+    }
+
+    /** A call that takes @p time at the upstream of its choice. */
+    void callAndAnswer(const char *className, Duration time)
+    {
+        this->admit(className);
+        this->reportAll(LoadReport{0, 0, 2, 100});
+        const AttemptOrder order = this->output.orders.back();
+        this->clock.advance(time);
+        AttemptReport report;
+        report.status = AttemptStatus::Answered;
+        report.httpStatus = 200;
+        report.load = LoadReport{0, 0, 2, 100};
+        this->dispatcher.attemptEnded(order.attempt, report);
+        this->advance(400ms);
+    }
+
+    /** Lets all classes take @p time on an idle upstream. */
+    void learnWorkTime(Duration time)
+    {
+        for (int i = 0; i < 20; ++i) {
+            this->callAndAnswer("reads", time);
+            this->callAndAnswer("orders", time);
+        }
+        this->output.ends.clear();
+        this->advance(400ms);
+    }
+
+    /** All upstreams that were asked answer with @p load, until nothing is asked any more. */
+    void reportAll(const LoadReport &load)
+    {
+        while (!this->output.probes.empty()) {
+            for (const ProbeOrder &probe : std::exchange(this->output.probes, {})) {
+                this->dispatcher.probeEnded(probe.upstream.id, true, load);
+            }
+        }
+    }
+
     void refuse(const AttemptOrder &order)
     {
         AttemptReport report;
@@ -189,6 +232,106 @@
     BOOST_TEST(output.probes.size() >= 3U);
 }
 
+// Guards against a full service that makes every call late: beyond what can be answered in time,
+// calls are told to come back, and those of a higher rank at the same service keep their place.
+BOOST_AUTO_TEST_CASE(a_call_expected_late_is_refused_unless_others_make_room)
+{
+    SharedFixture fixture(3);
+    fixture.setRank("reads", 1);
+    fixture.learnWorkTime(20ms);
+    const CallId read = fixture.admit("reads");
+    fixture.reportAll(LoadReport{2, 6, 2, 100});
+    BOOST_REQUIRE(fixture.output.ends.size() == 1U);
+    BOOST_TEST((fixture.output.ends[0].id == read));
+    BOOST_TEST((fixture.output.ends[0].outcome == Outcome::NotRun));
+    BOOST_TEST((fixture.output.ends[0].reason == Reason::QueueFull));
+    const std::size_t before = fixture.output.orders.size();
+    fixture.admit("orders");
+    fixture.reportAll(LoadReport{2, 6, 2, 100});
+    BOOST_TEST(fixture.output.orders.size() == before + 1);
+}
+
+// Guards against a service that stays refused: without recent answers nothing says how long calls
+// take.
+BOOST_AUTO_TEST_CASE(nothing_is_refused_on_old_work_times)
+{
+    SharedFixture fixture(3);
+    fixture.learnWorkTime(20ms);
+    fixture.advance(5s);
+    const std::size_t before = fixture.output.orders.size();
+    fixture.admit("reads");
+    fixture.reportAll(LoadReport{2, 6, 2, 100});
+    BOOST_TEST(fixture.output.orders.size() == before + 1);
+}
+
+// Guards against a call that goes to an upstream nobody asked, although those asked are all late.
+BOOST_AUTO_TEST_CASE(a_second_survey_looks_for_an_upstream_in_time)
+{
+    SharedFixture fixture(2);
+    fixture.update({"a", "b", "c", "d"});
+    fixture.learnWorkTime(20ms);
+    const std::size_t before = fixture.output.orders.size();
+    fixture.output.probes.clear();
+    fixture.admit("orders");
+    BOOST_TEST(fixture.output.probes.size() == 2U);
+    const auto asked = fixture.output.probes;
+    for (const ProbeOrder &probe : asked) {
+        fixture.dispatcher.probeEnded(probe.upstream.id, true, LoadReport{2, 6, 2, 100});
+    }
+    BOOST_TEST(fixture.output.orders.size() == before);
+    BOOST_REQUIRE(fixture.output.probes.size() == 4U);
+    const UpstreamId idle = fixture.output.probes.back().upstream.id;
+    fixture.dispatcher.probeEnded(idle, true, LoadReport{0, 0, 2, 100});
+    BOOST_REQUIRE(fixture.output.orders.size() == before + 1);
+    BOOST_TEST(fixture.output.orders.back().upstream.id.value() == idle.value());
+}
+
+// Guards against a read that fails because one upstream does, and against an order that is repeated
+// after an answer.
+BOOST_AUTO_TEST_CASE(a_read_is_tried_elsewhere_after_a_server_error)
+{
+    SharedFixture fixture;
+    AttemptReport error;
+    error.status = AttemptStatus::Answered;
+    error.httpStatus = 500;
+    for (int i = 0; i < 20; ++i) {
+        fixture.callAndAnswer("reads", 5ms);
+    }
+    fixture.output.ends.clear();
+    fixture.admit("reads");
+    const AttemptOrder first = fixture.output.orders.back();
+    fixture.dispatcher.attemptEnded(first.attempt, error);
+    BOOST_TEST(fixture.output.ends.empty());
+    const AttemptOrder second = fixture.output.orders.back();
+    BOOST_TEST(second.upstream.id.value() != first.upstream.id.value());
+    fixture.dispatcher.attemptEnded(second.attempt, error);
+    BOOST_REQUIRE(fixture.output.ends.size() == 1U);
+    BOOST_TEST((fixture.output.ends[0].outcome == Outcome::Answered));
+    fixture.admit("orders");
+    fixture.dispatcher.attemptEnded(fixture.output.orders.back().attempt, error);
+    BOOST_REQUIRE(fixture.output.ends.size() == 2U);
+    BOOST_TEST((fixture.output.ends[1].outcome == Outcome::Answered));
+}
+
+// Guards against a hedge that runs a call on more upstreams than its route allows: the timer was
+// set for the first attempt, and a second one had followed that one's failure.
+BOOST_AUTO_TEST_CASE(a_hedge_stays_within_the_allowed_attempts)
+{
+    SharedFixture fixture;
+    for (int i = 0; i < 100; ++i) {
+        fixture.callAndAnswer("reads", 20ms);
+    }
+    fixture.admit("reads");
+    const AttemptOrder first = fixture.output.orders.back();
+    const std::size_t before = fixture.output.orders.size();
+    AttemptReport failure;
+    failure.status = AttemptStatus::Failed;
+    fixture.dispatcher.attemptEnded(first.attempt, failure);
+    BOOST_TEST(fixture.output.orders.size() == before + 1);
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.output.orders.size() == before + 1);
+}
+
 // Guards against shares that differ from the declared weights.
 BOOST_AUTO_TEST_CASE(a_split_follows_its_weights)
 {
