Save calls to the metadata store when a relay changes, a watch is cut or the store is away

While the store was away every entry also tried a watch twice a second. Change: an entry relays as soon as it is the first of its zone, and renews its lease at once to show that it reaches the store; a refusal is asked again twice before the relay is avoided, for 1 s instead of 3; a first cut watch is repeated; while the store is away only the renewals ask for it; a starting fleet waits for its list before it picks relays.

--- a/src/gateway/registrar.cpp
+++ b/src/gateway/registrar.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds LeaseTime{3500};
 /** One renewal may fail before the lease ends. */
 constexpr std::chrono::milliseconds RenewPeriod{1500};
+/** Renewals while the store is away, which find out when it is back. */
+constexpr std::chrono::milliseconds TrialPeriod{700};
 /** Renewals of an entry on which others rely. */
 constexpr std::chrono::milliseconds RelayRenewPeriod{400};
 /** The watch shows a registration only some time after it was written. */
@@ -39,7 +41,13 @@
 
 void Registrar::setRelaying(bool newRelaying)
 {
-    this->relaying.store(newRelaying);
+    {
+        const std::lock_guard lock(this->mutex);
+        this->relaying = newRelaying;
+        // A renewal shows the entries that now ask this one whether it reaches the store.
+        this->renewAtOnce = newRelaying;
+    }
+    this->changed.notify_all();
 }
 
 void Registrar::leave()
@@ -76,8 +84,11 @@
             this->health.failed(error.what(), std::chrono::steady_clock::now());
         }
         lock.lock();
-        const auto period = this->relaying.load() ? RelayRenewPeriod : RenewPeriod;
-        this->changed.wait_for(lock, period, [this] { return this->stopping; });
+        const auto usual = this->relaying ? RelayRenewPeriod : RenewPeriod;
+        const auto period = this->health.isReachable() ? usual : TrialPeriod;
+        this->changed.wait_for(lock, period,
+                               [this] { return this->stopping || this->renewAtOnce; });
+        this->renewAtOnce = false;
     }
 }
 
--- a/src/gateway/registrar.h
+++ b/src/gateway/registrar.h
@@ -42,11 +42,12 @@
     Member self;
     StoreHealth &health;
     HttpMetadataStore store;
-    std::mutex mutex;
+    std::mutex mutex; ///< guards stopping, relaying and renewAtOnce
     std::condition_variable changed;
     bool stopping = false;
     std::atomic<bool> missing{true};
-    std::atomic<bool> relaying{false};
+    bool relaying = false;
+    bool renewAtOnce = false;
     TimePoint registeredAt;
     LeaseId lease; ///< 0 if there is none
     std::thread thread;
--- a/src/gateway/storefollower.cpp
+++ b/src/gateway/storefollower.cpp
@@ -14,9 +14,9 @@
 constexpr std::chrono::milliseconds WatchWait{15000};
 /** A watch that begins while the store drops its history may miss changes and not be cut. */
 constexpr std::chrono::milliseconds TroubledWatchWait{500};
-/** A call that only finds out whether the store is back. */
-constexpr std::chrono::milliseconds TrialWait{1};
 constexpr std::chrono::seconds TroubledTime{5}; ///< after a failure or a lost history
+/** The store may cut a waiting watch without being away; failures beyond these count. */
+constexpr unsigned MaxCutWatches = 1;
 /** Changes within this time share one call of the watch, since each call is paid for. */
 constexpr std::chrono::milliseconds BatchTime{700};
 /** A watch at a relay is this short so that a relay that stopped is noticed soon. */
@@ -25,7 +25,11 @@
 /** A relay that did not hear from the store for longer may have lost it without knowing. */
 constexpr std::chrono::milliseconds RelayFreshness{900};
 /** How long an entry watches the store itself after its relay failed. */
-constexpr std::chrono::seconds RelayAvoidTime{3};
+constexpr std::chrono::seconds RelayAvoidTime{1};
+/** A relay that fails sooner than this refuses, as one does that has just become the relay. */
+constexpr std::chrono::milliseconds RefusalTime{100};
+constexpr std::chrono::milliseconds RefusalPause{200};
+constexpr unsigned MaxRefusals = 3; ///< in a row, until the relay is taken to have lost the store
 /** An instance without the store must learn of changes within a few seconds. */
 constexpr std::chrono::milliseconds PeerPeriod{500};
 constexpr std::chrono::milliseconds PeerTimeout{300};
@@ -89,14 +93,12 @@
         if (this->followRelay()) {
             continue;
         }
-        try {
-            this->followStore();
+        // While the store is away, the cheaper renewals of the lease show when it is back.
+        if (this->health.isReachable() && this->tryStore()) {
             continue;
-        } catch (const Error &error) {
-            if (this->stopping.load()) {
-                return;
-            }
-            this->health.failed(error.what(), std::chrono::steady_clock::now());
+        }
+        if (this->stopping.load()) {
+            return;
         }
         this->setRelaying(false);
         this->troubledUntil = std::chrono::steady_clock::now() + TroubledTime;
@@ -105,6 +107,24 @@
     }
 }
 
+bool StoreFollower::tryStore()
+{
+    try {
+        this->followStore();
+        this->cutWatches = 0;
+        return true;
+    } catch (const Error &error) {
+        const TimePoint now = std::chrono::steady_clock::now();
+        this->troubledUntil = now + TroubledTime;
+        if (++this->cutWatches <= MaxCutWatches && this->health.isReachable()) {
+            LogLine("watch_cut", LogLevel::Warning).add("error", error.what());
+            return !this->stopping.load();
+        }
+        this->health.failed(error.what(), now);
+        return false;
+    }
+}
+
 bool StoreFollower::followRelay()
 {
     const auto relay = this->findRelay();
@@ -113,18 +133,25 @@
     }
     this->setRelaying(false);
     HttpMetadataStore source(*relay, RelayTimeout, [this] { return this->stopping.load(); });
+    const TimePoint start = std::chrono::steady_clock::now();
     try {
         if (this->synchronized) {
             this->watch(source, RelayWait);
         } else {
             this->readAll(source, "relay", ReadMode::Linearizable);
         }
+        this->relayRefusals = 0;
         return true;
     } catch (const Error &error) {
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (now - start < RefusalTime && ++this->relayRefusals < MaxRefusals) {
+            this->pause(RefusalPause);
+            return true;
+        }
         LogLine("relay_lost", LogLevel::Warning)
             .add("relay", relay->toString())
             .add("error", error.what());
-        const TimePoint now = std::chrono::steady_clock::now();
+        this->relayRefusals = 0;
         this->relayAvoidedUntil = now + RelayAvoidTime;
         this->troubledUntil = now + TroubledTime;
         return false;
@@ -144,20 +171,31 @@
     return std::nullopt;
 }
 
+bool StoreFollower::isFirstEntry()
+{
+    const std::lock_guard lock(this->mutex);
+    const auto &members = this->registry.listedMembers();
+    return members.empty() || (members.size() == 1 && members.contains(this->options.self));
+}
+
 void StoreFollower::followStore()
 {
-    const bool reachable = this->health.isReachable();
-    HttpMetadataStore source(this->options.store, StoreTimeout, [this, reachable] {
-        return this->stopping.load() || (reachable && !this->health.isReachable());
+    HttpMetadataStore source(this->options.store, StoreTimeout, [this] {
+        return this->stopping.load() || !this->health.isReachable();
     });
     if (!this->synchronized) {
         // The first watch brings what a stale copy lacks, and a stale read costs a tenth.
         const bool first = this->snapshot(ReadMode::AllowStale).asOf.value() == 0;
         this->readAll(source, "store", first ? ReadMode::AllowStale : ReadMode::Linearizable);
+        if (this->isFirstEntry()) {
+            // While the fleet starts, a list of only some entries would name different relays.
+            this->pause(BatchTime);
+        }
     } else {
+        // Entries that saw the same list ask this one already.
+        this->setRelaying(!this->findRelay());
         const bool troubled = std::chrono::steady_clock::now() < this->troubledUntil;
-        const auto wait = troubled ? TroubledWatchWait : WatchWait;
-        this->watch(source, reachable ? wait : TrialWait);
+        this->watch(source, troubled ? TroubledWatchWait : WatchWait);
         this->pause(BatchTime);
     }
     this->health.succeeded(std::chrono::steady_clock::now());
--- a/src/gateway/storefollower.h
+++ b/src/gateway/storefollower.h
@@ -60,8 +60,12 @@
 private:
     void run();
     bool followRelay();
+    /** @return false if the store cannot be reached */
+    bool tryStore();
     void followStore();
     std::optional<Endpoint> findRelay();
+    /** Whether no other entry is listed. */
+    bool isFirstEntry();
     void readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode);
     void watch(HttpMetadataStore &source, std::chrono::milliseconds longest);
     void askPeers();
@@ -82,6 +86,8 @@
     TimePoint troubledUntil; ///< watches are short before this time
     std::atomic<bool> relaying{false};
     TimePoint relayAvoidedUntil;
+    unsigned relayRefusals = 0; ///< in a row
+    unsigned cutWatches = 0; ///< failed calls to the store in a row
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/src/standins/metadatastorestandin.cpp
+++ b/src/standins/metadatastorestandin.cpp
@@ -277,9 +277,16 @@
     }
 }
 
+unsigned FaultyStorePort::watches()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->arrivedWatches;
+}
+
 void FaultyStorePort::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
     const std::lock_guard lock(this->mutex);
+    this->arrivedWatches += request.path() == "/kv-watch" ? 1 : 0;
     switch (this->fault) {
     case StoreFault::None:
         this->store.handleRequest(std::move(request), std::move(exchange));
--- a/src/standins/metadatastorestandin.h
+++ b/src/standins/metadatastorestandin.h
@@ -97,11 +97,14 @@
     }
     void handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override;
     void setFault(StoreFault newFault);
+    /** Watches that arrived, whatever became of them. Thread-safe. */
+    unsigned watches();
 
 private:
     MetadataStoreStandin &store;
     std::mutex mutex;
     StoreFault fault = StoreFault::None;
+    unsigned arrivedWatches = 0;
     std::vector<std::shared_ptr<HttpExchange>> held; ///< of a silent store
 };
 
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -167,6 +167,41 @@
     BOOST_TEST(servesWithin(gateway.callers, "/reads/a", 5s));
 }
 
+// Guards against watches that are sent to a store that is away: each call is paid for, and the
+// renewals of the lease show when it is back.
+BOOST_AUTO_TEST_CASE(a_store_that_is_away_is_not_watched)
+{
+    GatewayWorld world(1, 1);
+    FaultyStorePort &port = *world.gateways[0].storePort;
+    port.setFault(StoreFault::Busy);
+    world.store.dropHistory();
+    std::this_thread::sleep_for(1s);
+    const unsigned before = port.watches();
+    std::this_thread::sleep_for(3s);
+    BOOST_TEST(port.watches() == before);
+    port.setFault(StoreFault::None);
+    world.configure(true);
+    BOOST_TEST(servesWithin(world.gateways[0].callers, "/extra/a", ConfigLimit));
+}
+
+// Guards against a whole zone that watches the store because a waiting watch of its relay was cut.
+BOOST_AUTO_TEST_CASE(a_cut_watch_does_not_cost_a_zone_its_relay)
+{
+    GatewayWorld world(3, 1);
+    std::this_thread::sleep_for(2s);
+    const unsigned before
+        = world.gateways[1].storePort->watches() + world.gateways[2].storePort->watches();
+    world.store.dropHistory();
+    world.configure(true);
+    for (const TestGateway &gateway : world.gateways) {
+        BOOST_TEST(servesWithin(gateway.callers, "/extra/a", ConfigLimit), gateway.id);
+    }
+    std::this_thread::sleep_for(2s);
+    const unsigned after
+        = world.gateways[1].storePort->watches() + world.gateways[2].storePort->watches();
+    BOOST_TEST(after == before);
+}
+
 // Guards against log lines that come only when a block of them is full: the last ones before a
 // crash would be missing.
 BOOST_AUTO_TEST_CASE(a_decision_is_logged_at_once)
