--- a/src/base/eventring.h
+++ b/src/base/eventring.h
@@ -64,6 +64,23 @@
     Wakeup &wakeup;
 };
 
+/** Events taken from one ring before the others of a thread are looked at. */
+inline constexpr unsigned MaxEventBatch = 256;
+
+/** Hands up to MaxEventBatch events of a ring to @p handle. @return whether there were any */
+template<typename Event, typename Handler>
+bool takeEvents(EventRing<Event> &ring, Handler handle)
+{
+    for (unsigned i = 0; i < MaxEventBatch; ++i) {
+        auto event = ring.tryPop();
+        if (!event) {
+            return i > 0;
+        }
+        handle(std::move(*event));
+    }
+    return true;
+}
+
 } // namespace bronzeshed
 
 #endif
--- a/src/entry/decisionloop.cpp
+++ b/src/entry/decisionloop.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds MaxSleep{100};
-/** Events taken from one ring before the others are looked at. */
-constexpr unsigned MaxBatch = 256;
 
 } // namespace
 
@@ -28,19 +26,6 @@
 {
 }
 
-template<typename Event, typename Handler>
-bool DecisionLoop::takeEvents(EventRing<Event> &ring, Handler handle)
-{
-    for (unsigned i = 0; i < MaxBatch; ++i) {
-        auto event = ring.tryPop();
-        if (!event) {
-            return i > 0;
-        }
-        handle(std::move(*event));
-    }
-    return true;
-}
-
 void DecisionLoop::run()
 {
     while (!this->stopping.load()) {
@@ -48,21 +33,19 @@
         // Checked before any event: after a pause, queued calls must not go out on an old state.
         this->dispatcher.setDispatchAllowed(this->isFresh());
         this->timers.fire(this->clock.now());
-        bool busy = this->takeEvents(this->ports.attempts, [this](AttemptEvent event) {
+        bool busy = takeEvents(this->ports.attempts, [this](AttemptEvent event) {
             this->handleAttempt(std::move(event));
         });
-        busy |= this->takeEvents(this->ports.callers, [this](CallerEvent event) {
-            this->handleCaller(std::move(event));
-        });
-        busy |= this->takeEvents(this->ports.departures,
-                                 [this](CallId id) { this->handleDeparture(id); });
-        busy |= this->takeEvents(this->ports.questions, [this](const LedgerQuestion &question) {
+        busy |= takeEvents(this->ports.callers,
+                           [this](CallerEvent event) { this->handleCaller(std::move(event)); });
+        busy
+            |= takeEvents(this->ports.departures, [this](CallId id) { this->handleDeparture(id); });
+        busy |= takeEvents(this->ports.questions, [this](const LedgerQuestion &question) {
             this->ports.askers.reply({question.question, this->ledger.resolve(question)});
         });
-        busy |= this->takeEvents(this->ports.results, [this](const LedgerResult &result) {
-            this->ledger.takeResult(result);
-        });
-        busy |= this->takeEvents(this->ports.probes, [this](const ProbeEvent &event) {
+        busy |= takeEvents(this->ports.results,
+                           [this](const LedgerResult &result) { this->ledger.takeResult(result); });
+        busy |= takeEvents(this->ports.probes, [this](const ProbeEvent &event) {
             this->dispatcher.probeEnded(event.upstream, event.healthy);
         });
         this->open.store(this->calls.size() + this->ledger.waitingCalls());
--- a/src/entry/decisionloop.h
+++ b/src/entry/decisionloop.h
@@ -92,8 +92,6 @@
                 const std::string &detail);
     const ClassTarget *findTarget(const ClassName &name) const;
     bool isFresh() const;
-    template<typename Event, typename Handler>
-    bool takeEvents(EventRing<Event> &ring, Handler handle);
 
     DecisionOptions options;
     DecisionPorts ports;
--- a/src/gateway/gatewayloop.cpp
+++ b/src/gateway/gatewayloop.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds MaxSleep{1000};
-/** Events taken from one ring before the others are looked at. */
-constexpr unsigned MaxBatch = 256;
 /** A slot of a full service becomes free about this often. */
 constexpr std::chrono::milliseconds RetryDelay{50};
 /** An instance that stops or has no configuration yet is not the one to come back to at once. */
@@ -45,34 +43,20 @@
 {
 }
 
-template<typename Event, typename Handler>
-bool GatewayLoop::takeEvents(EventRing<Event> &ring, Handler handle)
-{
-    for (unsigned i = 0; i < MaxBatch; ++i) {
-        auto event = ring.tryPop();
-        if (!event) {
-            return i > 0;
-        }
-        handle(std::move(*event));
-    }
-    return true;
-}
-
 void GatewayLoop::run()
 {
     while (!this->stopping.load()) {
         this->takeState();
         this->timers.fire(this->clock.now());
-        bool busy = this->takeEvents(this->ports.attempts, [this](AttemptEvent event) {
+        bool busy = takeEvents(this->ports.attempts, [this](AttemptEvent event) {
             this->handleAttempt(std::move(event));
         });
-        busy |= this->takeEvents(this->ports.probes,
-                                 [this](const ProbeEvent &event) { this->handleProbe(event); });
-        busy |= this->takeEvents(this->ports.callers, [this](CallerEvent event) {
-            this->handleCaller(std::move(event));
-        });
-        busy |= this->takeEvents(this->ports.departures,
-                                 [this](CallId id) { this->dispatcher.callerLeft(id); });
+        busy |= takeEvents(this->ports.probes,
+                           [this](const ProbeEvent &event) { this->handleProbe(event); });
+        busy |= takeEvents(this->ports.callers,
+                           [this](CallerEvent event) { this->handleCaller(std::move(event)); });
+        busy |= takeEvents(this->ports.departures,
+                           [this](CallId id) { this->dispatcher.callerLeft(id); });
         this->open.store(this->calls.size());
         if (busy) {
             continue;
--- a/src/gateway/gatewayloop.h
+++ b/src/gateway/gatewayloop.h
@@ -81,8 +81,6 @@
     void finish(const CallHeaders &headers, TimePoint arrival, unsigned attempts, Outcome outcome,
                 Reason reason, HttpExchange &exchange, HttpResponse response);
     const ClassTarget *findTarget(const ClassName &name) const;
-    template<typename Event, typename Handler>
-    bool takeEvents(EventRing<Event> &ring, Handler handle);
 
     GatewayLoopOptions options;
     GatewayPorts ports;
