--- a/review/standins/gateway.h
+++ b/review/standins/gateway.h
@@ -89,7 +89,19 @@
         }
         return this->pid > 0;
     }
-    int exitStatus() const { return this->status; }
+    /** Resident memory of the process, or 0 if it has ended. */
+    long residentMb() const
+    {
+        const std::string path = "/proc/" + std::to_string(this->pid) + "/statm";
+        long size = 0, resident = 0;
+        if (std::FILE *file = std::fopen(path.c_str(), "r")) {
+            if (std::fscanf(file, "%ld %ld", &size, &resident) != 2) {
+                resident = 0;
+            }
+            std::fclose(file);
+        }
+        return resident * ::sysconf(_SC_PAGESIZE) / (1024 * 1024);
+    }
     void kill()
     {
         if (this->pid > 0) {
