--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -7,7 +7,6 @@
 #include <boost/json.hpp>
 #include <condition_variable>
 #include <deque>
-#include <functional>
 #include <thread>
 #include <vector>
 
@@ -49,11 +48,12 @@
         return count;
     }
 
-    /**
-     * Decides whether the response to a watch that has events is lost. The connection then returns
-     * nothing further, and stays open. Called with the store's lock held.
-     */
-    std::function<bool()> loseWatchResponse;
+    /** Until @p end, calls that arrive are not done and get no response, now or later. */
+    void beSilentUntil(Clock::time_point end)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->silentUntil = end;
+    }
 
 private:
     struct Item
@@ -154,18 +154,24 @@
             }
         }
     }
+    bool isSilent()
+    {
+        const std::lock_guard lock(this->mutex);
+        return Clock::now() < this->silentUntil;
+    }
     void serve(int fd)
     {
         Reader reader(fd);
         Message request;
         while (reader.read(request) == ReadResult::Complete) {
-            bool lost = false;
-            const std::string answer = this->handle(request, lost);
-            if (lost) {
+            if (this->isSilent()) {
+                this->record.write("store leaves %s %s unanswered", request.first.c_str(),
+                                   request.path().c_str());
                 // Nothing further is returned; the connection ends when the client closes it.
                 while (reader.read(request) == ReadResult::Complete) { }
                 break;
             }
+            const std::string answer = this->handle(request);
             if (!sendAll(fd, answer) || lower(request.header("connection")) == "close") {
                 break;
             }
@@ -177,7 +183,7 @@
         return response(status, "Content-Type: application/json\r\n", json::serialize(body));
     }
 
-    std::string handle(const Message &request, bool &lost)
+    std::string handle(const Message &request)
     {
         const std::string path = request.path();
         std::unique_lock lock(this->mutex);
@@ -185,7 +191,7 @@
             return this->range(request);
         }
         if (path == "/kv-watch") {
-            return this->watch(request, lock, lost);
+            return this->watch(request, lock);
         }
         if (path == "/kv-key") {
             const auto found = this->items.find(request.query("key"));
@@ -237,7 +243,7 @@
         return answer(200, {{"items", std::move(found)}, {"hasMore", more}, {"asOf", this->revision}});
     }
 
-    std::string watch(const Message &request, std::unique_lock<std::mutex> &lock, bool &lost)
+    std::string watch(const Message &request, std::unique_lock<std::mutex> &lock)
     {
         const std::string prefix = request.query("prefix");
         const std::uint64_t after = std::strtoull(request.query("after").c_str(), nullptr, 10);
@@ -261,7 +267,6 @@
             }
             this->changed.wait_until(lock, end);
         }
-        lost = !found.empty() && this->loseWatchResponse && this->loseWatchResponse();
         return answer(200, {{"events", std::move(found)}, {"asOf", this->revision}});
     }
 
@@ -302,6 +307,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::uint64_t revision = 1;
+    Clock::time_point silentUntil;
     std::map<std::string, Item> items;
     std::deque<Event> events;
     std::map<std::uint64_t, Lease> leases;
