--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/standins/*.cpp; do
+for source in review/*.cpp; do
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "target/review/$(basename "$source" .cpp)" "$source" -lboost_json
 done
