--- a/review/gateway.h
+++ b/review/gateway.h
@@ -5,6 +5,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <mutex>
+#include <random>
+#include <set>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -12,11 +15,26 @@
 
 namespace review {
 
+/** A free port below the range from which the system takes the ports of outgoing connections. */
 inline unsigned short freePort()
 {
-    unsigned short port = 0;
-    ::close(listenLoopback(port));
-    return port;
+    static std::mutex mutex;
+    static std::mt19937 random(std::random_device{}());
+    static std::set<unsigned short> taken;
+    const std::lock_guard lock(mutex);
+    while (true) {
+        const auto port = static_cast<unsigned short>(12000 + random() % 18000);
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool free = ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+        ::close(fd);
+        if (free && taken.insert(port).second) {
+            return port;
+        }
+    }
 }
 
 inline std::string loopback(unsigned short port)
