Never repeat a request on a connection that answered it without success

Cause: all attempts of a call have the same request id, and the pool matches responses by this id alone. When a server sends a second copy of a refusal late, and the next attempt of the call uses the same connection, the copy is taken for the answer to that attempt, which the server runs meanwhile.

A connection now remembers (by hash) the ids of the requests that it answered without success, and is not used for them again; other requests still use it. After 32 such ids it is closed, which bounds what it remembers. The same rule covers the repetition of a read after a server error.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -181,7 +181,7 @@
         this->finish({});
         return;
     }
-    this->connection = this->pool->idle.take(this->endpoint, this->use);
+    this->connection = this->pool->idle.take(this->endpoint, this->use, this->rules.echoValue);
     if (this->connection) {
         this->write();
     } else {
@@ -393,6 +393,12 @@
     if (!reusable || this->cancelled || this->connection->isTimedOut()) {
         return;
     }
+    if (!this->isSuccess() && !this->rules.echoValue.empty()) {
+        this->connection->recordUnsuccessful(this->rules.echoValue);
+        if (this->connection->isWornOut()) {
+            return;
+        }
+    }
     const auto seconds = keepAliveSeconds(this->parser->get()["Keep-Alive"]);
     if (seconds) {
         this->connection->serverIdleTimeout
--- a/src/http/idleconnections.cpp
+++ b/src/http/idleconnections.cpp
@@ -16,24 +16,29 @@
 {
 }
 
-std::unique_ptr<PooledConnection> IdleConnections::take(const Endpoint &endpoint, ConnectionUse use)
+std::unique_ptr<PooledConnection> IdleConnections::take(const Endpoint &endpoint, ConnectionUse use,
+                                                        const std::string &requestId)
 {
     auto &queue = this->connections[endpoint];
     const TimePoint now = std::chrono::steady_clock::now();
-    while (!queue.empty()) {
-        // The most recently used connection is the most likely to be alive.
-        std::unique_ptr<PooledConnection> connection = std::move(queue.back());
-        queue.pop_back();
-        const Duration age = now - connection->lastUse;
-        if (age > std::min<Duration>(this->limits.idleTimeout, connection->serverIdleTimeout)
-            || !connection->isOpenAndIdle()) {
+    // The most recently used connection is the most likely to be alive.
+    for (auto position = queue.end(); position != queue.begin();) {
+        --position;
+        PooledConnection &candidate = **position;
+        const Duration age = now - candidate.lastUse;
+        if (age > std::min<Duration>(this->limits.idleTimeout, candidate.serverIdleTimeout)
+            || !candidate.isOpenAndIdle()) {
+            position = queue.erase(position);
             continue;
         }
         if (use == ConnectionUse::RecentlyUsed && age > this->limits.recentUse) {
-            queue.push_back(std::move(connection));
             return nullptr;
         }
-        return connection;
+        if (candidate.accepts(requestId)) {
+            std::unique_ptr<PooledConnection> connection = std::move(*position);
+            queue.erase(position);
+            return connection;
+        }
     }
     return nullptr;
 }
--- a/src/http/idleconnections.h
+++ b/src/http/idleconnections.h
@@ -16,8 +16,12 @@
 public:
     explicit IdleConnections(const ConnectionPoolLimits &limits);
 
-    /** @return an open connection that @p use allows, or nullptr if there is none */
-    std::unique_ptr<PooledConnection> take(const Endpoint &endpoint, ConnectionUse use);
+    /**
+     * @param requestId id of the request that is to be sent, or empty
+     * @return an open connection that @p use and the id allow, or nullptr if there is none
+     */
+    std::unique_ptr<PooledConnection> take(const Endpoint &endpoint, ConnectionUse use,
+                                           const std::string &requestId);
     void put(const Endpoint &endpoint, std::unique_ptr<PooledConnection> connection);
 
     /** Closes the connections to an endpoint after two timeouts without a response in between. */
--- a/src/http/pooledconnection.h
+++ b/src/http/pooledconnection.h
@@ -4,12 +4,16 @@
 #include "base/clock.h"
 #include "http/lazytimer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <cerrno>
 #include <cstddef>
+#include <functional>
+#include <string>
 #include <sys/socket.h>
+#include <vector>
 
 namespace bronzeshed {
 
@@ -44,6 +48,24 @@
     void setDeadline(TimePoint deadline) { this->timer.setDeadline(deadline); }
     bool isTimedOut() const { return this->timedOut; }
 
+    /** Records that a response other than a success answered the request with @p id. */
+    void recordUnsuccessful(const std::string &id)
+    {
+        this->unsuccessfulIds.push_back(std::hash<std::string>{}(id));
+    }
+    /**
+     * Whether the request with @p id may be sent on this connection. After an unsuccessful response
+     * to the same request, a late copy of it could not be told from the next response.
+     */
+    bool accepts(const std::string &id) const
+    {
+        return std::find(this->unsuccessfulIds.begin(), this->unsuccessfulIds.end(),
+                         std::hash<std::string>{}(id))
+            == this->unsuccessfulIds.end();
+    }
+    /** Whether no further id can be recorded, so that the connection must be closed. */
+    bool isWornOut() const { return this->unsuccessfulIds.size() >= MaxUnsuccessfulIds; }
+
     boost::beast::tcp_stream stream;
     /** Limited, because a faulty server may send a header or a chunk extension without end. */
     boost::beast::flat_buffer buffer{MaxBufferedBytes};
@@ -52,6 +74,7 @@
 
 private:
     static constexpr std::size_t MaxBufferedBytes = 128UL * 1024;
+    static constexpr std::size_t MaxUnsuccessfulIds = 32;
 
     void timeOut()
     {
@@ -60,6 +83,7 @@
     }
 
     LazyTimer timer;
+    std::vector<std::size_t> unsuccessfulIds; ///< hashes; an equal one costs a connection only
     bool timedOut = false;
     std::atomic<std::size_t> &count;
 };
--- a/tests/http/responserulestest.cpp
+++ b/tests/http/responserulestest.cpp
@@ -88,6 +88,42 @@
                boost::test_tools::per_element());
 }
 
+// A server refuses a request, sends a second copy of the refusal late, and runs the repetition,
+// which has the same id. Guards against taking the copy for the answer to the repetition: the
+// caller would be told that the request has not run, and would send it again.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_refusal_does_not_refuse_the_repetition)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nId: mine\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([&](std::size_t request) {
+        const bool sameConnection = request > 0 && server.requests()[request] == 0;
+        if (request == 0) {
+            return RawReply{refusal};
+        }
+        return RawReply{(sameConnection ? refusal : "") + answer("mine", "ran")};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    BOOST_TEST(send(pool, server, AttemptId(1)).response.status == 503U);
+    BOOST_TEST(send(pool, server, AttemptId(2)).response.status == 200U);
+}
+
+// Guards against closing a connection after each refusal, and against one that keeps the ids of
+// refused requests without limit while its server is overloaded.
+BOOST_AUTO_TEST_CASE(a_connection_is_used_for_other_requests_after_refusals)
+{
+    constexpr std::size_t Requests = 40;
+    const auto id = [](std::size_t request) { return "r" + std::to_string(request); };
+    RawServer server([&](std::size_t request) {
+        return RawReply{"HTTP/1.1 503 Busy\r\nId: " + id(request)
+                        + "\r\nContent-Length: 0\r\n\r\n"};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    for (std::size_t i = 0; i < Requests; ++i) {
+        BOOST_TEST(send(pool, server, AttemptId(i + 1), id(i)).response.status == 503U);
+    }
+    BOOST_TEST(server.requests()[1] == 0U);
+    BOOST_TEST(server.requests().back() == 1U);
+}
+
 // Guards against a caller that waits indefinitely when a server sends only responses to other
 // requests.
 BOOST_AUTO_TEST_CASE(too_many_stray_responses_fail_the_exchange)
