Bound the time that a lost watch hides changes

Cause: a watch that is never answered was waited for 15 s and its timeout. The age of the replica was judged by other calls, the lease renewals, which were answered, so the relay also told its zone that the replica was current.

A watch now waits 1.2 s (2.2 s with its timeout). ReplicaAge records when the replica was known to be complete, and a relay with an older one than 2.4 s refuses to serve it. watch_interrupted logs the age.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/** Half of the longest wait that the store permits. */
-constexpr std::chrono::milliseconds WatchWait{15000};
+/**
+ * A watch may be lost while all other calls are answered, so its wait and its timeout bound the age
+ * of the replica. Each watch is billed.
+ */
+constexpr std::chrono::milliseconds WatchWait{1200};
 /**
  * A watch that starts while the store drops its history may miss changes without being closed. A
  * short wait bounds the delay until the next watch detects the loss.
@@ -24,6 +27,10 @@
 constexpr std::chrono::milliseconds BatchTime{700};
 /** A relay whose last successful store call is older may have lost the store unnoticed. */
 constexpr std::chrono::milliseconds RelayFreshness{900};
+/** A relay whose watch is overdue may have lost it. */
+constexpr std::chrono::milliseconds WatchDelayTolerance{500};
+constexpr std::chrono::milliseconds MaxRelayReplicaAge
+    = BatchTime + WatchWait + WatchDelayTolerance;
 /** An instance that cannot reach the store must receive changes within a few seconds. */
 constexpr std::chrono::milliseconds PeerPeriod{500};
 constexpr std::chrono::milliseconds PeerTimeout{300};
@@ -44,6 +51,7 @@
     , random(makeSystemRandom())
     , replica(this->options.regions)
     , duties(this->options.store, *this)
+    , age(std::chrono::steady_clock::now())
 {
 }
 
@@ -79,8 +87,9 @@
 
 bool StoreWatcher::isCurrent()
 {
-    return this->role.load() == ZoneRole::Relay
-        && this->health.succeededWithin(RelayFreshness, std::chrono::steady_clock::now());
+    const TimePoint now = std::chrono::steady_clock::now();
+    return this->role.load() == ZoneRole::Relay && this->age.at(now) <= MaxRelayReplicaAge
+        && this->health.succeededWithin(RelayFreshness, now);
 }
 
 void StoreWatcher::run()
@@ -120,7 +129,9 @@
         const TimePoint now = std::chrono::steady_clock::now();
         this->degradedUntil = now + DegradedTime;
         if (++this->consecutiveFailures <= MaxToleratedFailures && this->health.isReachable()) {
-            LogLine("watch_interrupted", LogLevel::Warning).add("error", error.what());
+            LogLine("watch_interrupted", LogLevel::Warning)
+                .add("error", error.what())
+                .add("replica_age_ms", this->age.millisecondsAt(now));
             return !this->stopping.load();
         }
         this->health.recordFailure(error.what(), now);
@@ -170,6 +181,7 @@
 
 void StoreWatcher::readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode)
 {
+    const TimePoint start = std::chrono::steady_clock::now();
     const StoreRange range = source.range("", mode);
     const DeletionKind kind = this->deletionKind();
     bool changed = false;
@@ -186,6 +198,9 @@
         changed = this->replica.replaceAll(range, kind, std::chrono::steady_clock::now());
     }
     this->synchronized = true;
+    if (mode == ReadMode::Linearizable) {
+        this->age.confirm(start);
+    }
     // The relay, if one is known, adds at once what a stale read lacks, such as upstreams that
     // left.
     this->unconfirmed = mode == ReadMode::AllowStale && this->findRelay().has_value();
@@ -211,15 +226,16 @@
         }
     }
     const StoreChanges changes = source.watch("", after, wait, ReadMode::Linearizable);
+    const TimePoint now = std::chrono::steady_clock::now();
     if (changes.historyLost) {
         LogLine("store_history_lost", LogLevel::Warning).add("revision", after.value());
         this->synchronized = false;
-        this->degradedUntil = std::chrono::steady_clock::now() + DegradedTime;
+        this->degradedUntil = now + DegradedTime;
         return;
     }
+    this->age.confirm(now);
     bool changed = false;
     {
-        const TimePoint now = std::chrono::steady_clock::now();
         const std::lock_guard lock(this->mutex);
         changed = this->replica.apply(changes, this->deletionKind(), now);
         changed |= this->replica.dropExpired(now);
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -3,6 +3,7 @@
 
 #include "base/random.h"
 #include "gateway/relayduties.h"
+#include "gateway/replicaage.h"
 #include "gateway/storehealth.h"
 #include "gateway/storereplica.h"
 #include "gateway/zonerole.h"
@@ -115,6 +116,7 @@
     std::mutex mutex; ///< guards the replica
     StoreReplica replica;
     RelayDuties duties;
+    ReplicaAge age;
     bool synchronized = false; ///< the replica holds all items as of its revision
     TimePoint degradedUntil; ///< until this time, watches use a short wait
     std::atomic<ZoneRole> role{ZoneRole::Undecided};
--- a/src/standins/metadatastorestandin.cpp
+++ b/src/standins/metadatastorestandin.cpp
@@ -319,7 +319,8 @@
 void FaultyStorePort::handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
     const std::lock_guard lock(this->mutex);
-    this->arrivedWatches += request.path() == "/kv-watch" ? 1 : 0;
+    const bool isWatch = request.path() == "/kv-watch";
+    this->arrivedWatches += isWatch ? 1 : 0;
     switch (this->fault) {
     case StoreFault::None:
         this->store.handleRequest(std::move(request), std::move(exchange));
@@ -340,6 +341,13 @@
         this->store.handleRequest(std::move(request),
                                   std::make_shared<LostReply>(std::move(exchange)));
         return;
+    case StoreFault::SilentWatches:
+        if (isWatch) {
+            this->unanswered.push_back(std::move(exchange));
+        } else {
+            this->store.handleRequest(std::move(request), std::move(exchange));
+        }
+        return;
     }
 }
 
--- a/src/standins/metadatastorestandin.h
+++ b/src/standins/metadatastorestandin.h
@@ -22,6 +22,7 @@
     TooMany, ///< 429, nothing is done
     Reset, ///< closes the connection, nothing is done
     LoseReply, ///< does the call and closes the connection
+    SilentWatches, ///< never answers watches, but all other calls
 };
 
 /**
@@ -114,6 +115,7 @@
     StoreFault fault = StoreFault::None;
     unsigned arrivedWatches = 0;
     std::vector<std::shared_ptr<HttpExchange>> held; ///< of a silent store
+    std::vector<std::shared_ptr<HttpExchange>> unanswered; ///< kept open after the fault
 };
 
 } // namespace bronzeshed
--- a/tests/gateway/gatewaydeployment.cpp
+++ b/tests/gateway/gatewaydeployment.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <system_error>
+#include <thread>
 #include <unistd.h>
 
 namespace bronzeshed {
@@ -183,6 +184,19 @@
     }
 }
 
+bool GatewayDeployment::servesWithin(const Endpoint &gateway, const std::string &path,
+                                     Duration limit)
+{
+    const TimePoint end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (call(gateway, "GET", path, "probe").status == 200) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return false;
+}
+
 unsigned GatewayDeployment::statusOf(const Endpoint &endpoint, const std::string &path)
 {
     return call(endpoint, "GET", path, "").status;
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -16,18 +16,6 @@
 /** The same for an instance whose own calls to the store fail. */
 constexpr std::chrono::milliseconds StoreFaultConfigLimit{7500};
 
-bool servesWithin(const Endpoint &gateway, const std::string &path, Duration limit)
-{
-    const TimePoint end = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < end) {
-        if (GatewayDeployment::call(gateway, "GET", path, "probe").status == 200) {
-            return true;
-        }
-        std::this_thread::sleep_for(50ms);
-    }
-    return false;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_process)
@@ -56,7 +44,8 @@
     GatewayDeployment deployment(3, 1);
     deployment.configure(true);
     for (const TestGateway &gateway : deployment.gateways) {
-        BOOST_TEST(servesWithin(gateway.callers, "/extra/a", ConfigLimit), gateway.id);
+        BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", ConfigLimit),
+                   gateway.id);
     }
     bool extra = false;
     for (const StoreFault fault :
@@ -82,7 +71,8 @@
     deployment.store.dropHistory();
     deployment.configure(true);
     for (const TestGateway &gateway : deployment.gateways) {
-        BOOST_TEST(servesWithin(gateway.callers, "/extra/a", ConfigLimit), gateway.id);
+        BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", ConfigLimit),
+                   gateway.id);
     }
 }
 
@@ -171,7 +161,7 @@
     BOOST_TEST(GatewayDeployment::statusOf(gateway.readiness, "/readiness") == 503U);
     BOOST_TEST(GatewayDeployment::call(gateway.callers, "GET", "/reads/a", "r1").status == 503U);
     gateway.storePort->setFault(StoreFault::None);
-    BOOST_TEST(servesWithin(gateway.callers, "/reads/a", 5s));
+    BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/reads/a", 5s));
 }
 
 // The store is unavailable for some seconds. Guards against watch calls in this time: each call is
@@ -188,7 +178,8 @@
     BOOST_TEST(port.watches() == before);
     port.setFault(StoreFault::None);
     deployment.configure(true);
-    BOOST_TEST(servesWithin(deployment.gateways[0].callers, "/extra/a", ConfigLimit));
+    BOOST_TEST(
+        GatewayDeployment::servesWithin(deployment.gateways[0].callers, "/extra/a", ConfigLimit));
 }
 
 // The store closes the waiting watch of a relay, here by dropping its history. Guards against the
@@ -202,7 +193,8 @@
     deployment.store.dropHistory();
     deployment.configure(true);
     for (const TestGateway &gateway : deployment.gateways) {
-        BOOST_TEST(servesWithin(gateway.callers, "/extra/a", ConfigLimit), gateway.id);
+        BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", ConfigLimit),
+                   gateway.id);
     }
     std::this_thread::sleep_for(2s);
     const unsigned after
@@ -304,7 +296,8 @@
 {
     GatewayDeployment deployment(2, 2);
     deployment.configure(true);
-    BOOST_TEST(servesWithin(deployment.gateways[0].callers, "/extra/a", ConfigLimit));
+    BOOST_TEST(
+        GatewayDeployment::servesWithin(deployment.gateways[0].callers, "/extra/a", ConfigLimit));
     deployment.store.holdStaleReads();
     deployment.configure(false);
     deployment.store.erase("servers/reads-0");
