Ask the store when the relays of a zone have been silent for 1.7 s

Cause: a relay that does not answer takes 1 to 1.3 s, and the two were asked in turn as long as one of them was not avoided; the store was asked only after that, a check by another thread and a pause.

nextRelayWatch() limits watches at relays by the age of the replica: together they may let it grow to 1.7 s, then the store is asked first. Silent relays, unlike refusing ones, are no reason to doubt the store, and an instance that waits for the store goes on as soon as it answers. relay_failed logs the age.

--- /dev/null
+++ b/src/gateway/relaywatchlimits.cpp
@@ -0,0 +1,29 @@
+#include "gateway/relaywatchlimits.h"
+
+namespace bronzeshed {
+
+namespace {
+
+/** A short wait, so that a stopped relay is detected soon. */
+constexpr std::chrono::milliseconds RelayWait{700};
+constexpr std::chrono::milliseconds RelayTimeout{600};
+/** With less time left, a relay on a busy instance could not answer. */
+constexpr std::chrono::milliseconds MinRelayTimeout{100};
+/** Time that a whole watch leaves for a check of the next relay. */
+constexpr std::chrono::milliseconds NextRelayTime{250};
+
+} // namespace
+
+std::optional<RelayWatchLimits> nextRelayWatch(Duration age)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(MaxAgeFromRelays - age);
+    if (left >= RelayWait + RelayTimeout + NextRelayTime) {
+        return RelayWatchLimits{RelayWait, RelayTimeout};
+    }
+    if (left < MinRelayTimeout + ConfirmationWait) {
+        return std::nullopt;
+    }
+    return RelayWatchLimits{ConfirmationWait, std::min(RelayTimeout, left - ConfirmationWait)};
+}
+
+} // namespace bronzeshed
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -104,15 +104,16 @@
         this->setRoleWithoutRelay(false);
         this->degradedUntil = std::chrono::steady_clock::now() + DegradedTime;
         this->queryPeers();
-        this->pause(PeerPeriod);
+        this->pauseWhileUnreachable(PeerPeriod);
     }
 }
 
 bool StoreWatcher::followStore()
 {
-    if (this->role.load() == ZoneRole::Follower && !this->mayRelay()) {
-        // The relays lose the store before all others notice. A check costs less than a watch.
-        this->health.recordDoubt("no relay of the zone answers");
+    if (this->role.load() == ZoneRole::Follower && !this->mayRelay() && !this->relaySilent) {
+        // Relays that refuse have lost the store before all others notice. A check costs less than
+        // a watch.
+        this->health.recordDoubt("the relays of the zone refuse");
     }
     // While the store is unavailable, the checks of the registrar, which cost less, detect its
     // recovery.
@@ -382,8 +383,18 @@
 
 void StoreWatcher::pause(Duration time)
 {
-    const TimePoint end = std::chrono::steady_clock::now() + time;
-    while (!this->stopping.load()) {
+    this->pauseUntil(std::chrono::steady_clock::now() + time, [] { return false; });
+}
+
+void StoreWatcher::pauseWhileUnreachable(Duration time)
+{
+    this->pauseUntil(std::chrono::steady_clock::now() + time,
+                     [this] { return this->health.isReachable(); });
+}
+
+void StoreWatcher::pauseUntil(TimePoint end, const std::function<bool()> &ended)
+{
+    while (!this->stopping.load() && !ended()) {
         const Duration left = end - std::chrono::steady_clock::now();
         if (left <= Duration::zero()) {
             return;
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -10,6 +10,7 @@
 #include "platform/snapshotport.h"
 
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -108,6 +109,9 @@
     /** Sets the role of an entry without a relay. */
     void setRoleWithoutRelay(bool storeReachable);
     void pause(Duration time);
+    /** Pauses for @p time, or until the store is known to be reachable. */
+    void pauseWhileUnreachable(Duration time);
+    void pauseUntil(TimePoint end, const std::function<bool()> &ended);
 
     StoreWatcherOptions options;
     StoreHealth &health;
@@ -123,6 +127,7 @@
     std::optional<Endpoint> relay; ///< of a follower
     std::map<InstanceId, Avoidance> avoidedRelays; ///< used by the thread only
     unsigned relayRefusals = 0; ///< in a row
+    bool relaySilent = false; ///< the last relay that failed did not answer
     bool unconfirmed = false; ///< the replica comes from a stale read and is not published yet
     unsigned startReads = 0; ///< stale reads before this entry was registered
     unsigned consecutiveFailures = 0; ///< failed calls to the store in a row
--- a/src/gateway/storewatcherrelay.cpp
+++ b/src/gateway/storewatcherrelay.cpp
@@ -2,17 +2,13 @@
 
 #include "base/error.h"
 #include "base/logline.h"
+#include "gateway/relaywatchlimits.h"
 #include "gateway/storewatcher.h"
 
 namespace bronzeshed {
 
 namespace {
 
-/** A short wait, so that a stopped relay is detected soon. */
-constexpr std::chrono::milliseconds RelayWait{700};
-constexpr std::chrono::milliseconds RelayTimeout{600};
-/** A watch with this wait only returns the changes since a stale read. */
-constexpr std::chrono::milliseconds ConfirmationWait{1};
 /** Entries of a zone, in order, that may be its relay; beyond them, an entry watches the store. */
 constexpr int MaxRelays = 2;
 /**
@@ -71,17 +67,22 @@
     if (!relay) {
         return false;
     }
-    HttpMetadataStore source(relay->agentEndpoint, RelayTimeout,
+    const TimePoint start = std::chrono::steady_clock::now();
+    const auto limits = nextRelayWatch(this->age.at(start));
+    if (!limits) {
+        return false;
+    }
+    HttpMetadataStore source(relay->agentEndpoint, limits->timeout,
                              [this] { return this->stopping.load(); });
     source.identifyWatches(this->options.self);
-    const TimePoint start = std::chrono::steady_clock::now();
     try {
         if (this->synchronized) {
-            this->watch(source, this->unconfirmed ? ConfirmationWait : RelayWait);
+            this->watch(source, this->unconfirmed ? ConfirmationWait : limits->wait);
         } else {
             this->readAll(source, "relay", ReadMode::Linearizable);
         }
         this->relayRefusals = 0;
+        this->relaySilent = false;
         this->avoidedRelays.erase(relay->id);
         this->setRole(ZoneRole::Follower, relay->agentEndpoint);
         return true;
@@ -96,8 +97,10 @@
         }
         LogLine("relay_failed", LogLevel::Warning)
             .add("relay", relay->id.value())
-            .add("error", error.what());
+            .add("error", error.what())
+            .add("replica_age_ms", this->age.millisecondsAt(now));
         this->relayRefusals = 0;
+        this->relaySilent = !refused;
         this->avoidRelay(relay->id, refused, now);
         this->degradedUntil = now + DegradedTime;
         return true;
--- a/tests/gateway/configurationagetest.cpp
+++ b/tests/gateway/configurationagetest.cpp
@@ -1,6 +1,7 @@
 #include "gatewaydeployment.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace bronzeshed;
 using namespace std::chrono_literals;
@@ -33,4 +34,32 @@
     }
 }
 
+// The first two instances of a zone stop answering. Guards against the others asking these two in
+// turn until a configuration is seconds late, while the store would answer.
+BOOST_AUTO_TEST_CASE(two_silent_relays_delay_no_configuration)
+{
+    GatewayDeployment deployment(4, 1);
+    std::this_thread::sleep_for(1s); // until the others watch the relay
+    for (const std::size_t relay : {0U, 1U}) {
+        deployment.gateways[relay].process->freeze();
+    }
+    bool extra = false;
+    // The changes meet the watches at different moments of their cycle.
+    for (int change = 0; change < 8; ++change) {
+        extra = !extra;
+        deployment.configure(extra);
+        const TimePoint limit = std::chrono::steady_clock::now() + ConfigLimit;
+        for (const std::size_t other : {2U, 3U}) {
+            const Endpoint &callers = deployment.gateways[other].callers;
+            unsigned status = 0;
+            while (status != (extra ? 200U : 404U) && std::chrono::steady_clock::now() < limit) {
+                status = GatewayDeployment::call(callers, "GET", "/extra/a", "b").status;
+            }
+            BOOST_TEST(status == (extra ? 200U : 404U),
+                       "gateway " << other << ", change " << change);
+        }
+        std::this_thread::sleep_for(300ms);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/relaydecisionstest.cpp
+++ b/tests/gateway/relaydecisionstest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/leaseschedule.h"
 #include "gateway/registrationqueue.h"
+#include "gateway/relaywatchlimits.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -85,4 +86,25 @@
     BOOST_TEST(schedule.takeDue(inUse, Start + 61s).size() == 1U);
 }
 
+// All relays of a zone fall silent. Guards against watches that together take longer than the bound
+// for the age of the replica, and against a second relay that gets no time to answer.
+BOOST_AUTO_TEST_CASE(watches_at_silent_relays_end_in_time_to_ask_the_store)
+{
+    for (Duration ageAtStart = 0ms; ageAtStart <= 2s; ageAtStart += 7ms) {
+        Duration age = ageAtStart;
+        unsigned watches = 0;
+        while (const auto limits = nextRelayWatch(age)) {
+            ++watches;
+            BOOST_REQUIRE((limits->wait > 0ms && limits->timeout > 0ms));
+            age += limits->wait + limits->timeout;
+            BOOST_TEST((age <= MaxAgeFromRelays));
+        }
+        BOOST_TEST((watches >= 2 || ageAtStart > 900ms));
+    }
+    const auto regular = nextRelayWatch(0ms);
+    BOOST_REQUIRE(regular.has_value());
+    BOOST_TEST((regular->wait + regular->timeout == 1300ms));
+    BOOST_TEST(!nextRelayWatch(MaxAgeFromRelays).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
