End the stale reads of a starting instance after 1.5 s

Cause: without a relay an instance made up to eight stale reads, 0.7 s apart, until one held its own registration. Stale reads may be seconds old, and then lack it as well as the changes.

The stale reads end 1.5 s after the start; then the instance watches the store, which adds what the reads lack.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -19,8 +19,11 @@
  * short wait bounds the delay until the next watch detects the loss.
  */
 constexpr std::chrono::milliseconds DegradedWatchWait{500};
-/** Stale reads at the start while this entry is not registered. They may be seconds old. */
-constexpr unsigned MaxStartReads = 8;
+/**
+ * Time at the start in which an entry without a relay makes stale reads until it is registered.
+ * They may be seconds old, and an entry must know the present configuration 3 s after its start.
+ */
+constexpr std::chrono::milliseconds StartReadTime{1500};
 /** The store may close a waiting watch while it is available; this many failures are ignored. */
 constexpr unsigned MaxToleratedFailures = 1;
 /** Changes within this time are fetched with one watch call, since each call is billed. */
@@ -62,6 +65,8 @@
 
 void StoreWatcher::start()
 {
+    this->startedAt = std::chrono::steady_clock::now();
+    this->age.confirm(this->startedAt);
     this->thread = std::thread([this] { this->run(); });
 }
 
@@ -151,13 +156,13 @@
     HttpMetadataStore source(this->options.store, StoreTimeout, [this] {
         return this->stopping.load() || !this->health.isReachable();
     });
-    if (this->isRegistered()) {
-        this->startReads = MaxStartReads;
+    if (this->starting && this->synchronized) {
+        this->starting = !this->isRegistered()
+            && std::chrono::steady_clock::now() - this->startedAt < StartReadTime;
     }
-    if (this->startReads < MaxStartReads) {
+    if (this->starting) {
         // During the start of the fleet, entries with incomplete lists would select different
         // relays. A stale read costs a tenth of a watch, which fetches what the reads lack later.
-        ++this->startReads;
         this->readAll(source, "store", ReadMode::AllowStale);
         this->health.recordSuccess(std::chrono::steady_clock::now());
         if (!this->isRegistered() && !this->findRelay()) {
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -129,7 +129,8 @@
     unsigned relayRefusals = 0; ///< in a row
     bool relaySilent = false; ///< the last relay that failed did not answer
     bool unconfirmed = false; ///< the replica comes from a stale read and is not published yet
-    unsigned startReads = 0; ///< stale reads before this entry was registered
+    bool starting = true; ///< this entry may make stale reads
+    TimePoint startedAt;
     unsigned consecutiveFailures = 0; ///< failed calls to the store in a row
     std::atomic<bool> stopping{false};
     std::thread thread;
--- a/tests/gateway/configurationagetest.cpp
+++ b/tests/gateway/configurationagetest.cpp
@@ -10,6 +10,8 @@
 
 /** Time within which a configuration confirmed by the store must be active. */
 constexpr std::chrono::milliseconds ConfigLimit{2500};
+/** Time after its start from which an instance must keep to ConfigLimit. */
+constexpr std::chrono::milliseconds StartLimit{3000};
 
 } // namespace
 
@@ -62,4 +64,20 @@
     }
 }
 
+// An instance starts without a relay while stale reads are seconds old. Guards against an instance
+// that makes only stale reads until it finds its own registration in them.
+BOOST_AUTO_TEST_CASE(an_instance_without_a_relay_starts_with_the_present_configuration)
+{
+    GatewayDeployment deployment(1, 1);
+    TestGateway &gateway = deployment.gateways[0];
+    gateway.process->kill();
+    deployment.store.endLeases();
+    deployment.store.holdStaleReads();
+    deployment.configure(true);
+    const TimePoint start = std::chrono::steady_clock::now();
+    deployment.start(gateway);
+    const Duration left = StartLimit - (std::chrono::steady_clock::now() - start);
+    BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", left));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
