End a process in order when one of its addresses is in use at the start

Cause: the constructor of GatewayProcess opens four listeners after it has started the thread of the decision loop. When one of them throws, the thread object is destroyed while the thread runs, which calls std::terminate. The same holds for EntryProcess. The tests took ports from the range of outgoing connections, one of which could take the port of a restarting gateway; that this happened in the failed runs is likely, not shown.

StoppableThread stops and joins the loop also when a later member fails. listen_failed names the setting and the address; lines of level error now go to standard output like all others. The tests take ports below the range of outgoing connections.

--- a/src/base/logline.cpp
+++ b/src/base/logline.cpp
@@ -82,6 +82,8 @@
 {
     FLAGS_logtostderr = false;
     FLAGS_logtostdout = true;
+    // Errors would go to standard error.
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
     // By default the C library writes to a pipe in blocks. They arrive late, and are cut in the
     // middle of a line when the pipe is full.
     if (std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ) != 0) {
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -42,7 +42,7 @@
     , decisions(this->decisionOptions(incarnation),
                 {wakeup, callerRing, disconnectRing, attemptRing, ledgerQueryRing, ledgerResultRing,
                  control, upstreams, ledgerServer, ledgerClient, probeRing, metrics})
-    , decisionThread([this] { this->decisions.run(); })
+    , decisionThread([this] { this->decisions.run(); }, [this] { this->decisions.stop(); })
     , link(std::make_unique<AgentLink>(given.agent, control, statusChanged))
     , adminPort(*this)
     , admin(std::make_unique<HttpServer>(given.admin, HttpLimits{}, adminPort))
@@ -54,8 +54,7 @@
     this->admin->stop();
     this->link->stop();
     this->callers.stop();
-    this->decisions.stop();
-    this->decisionThread.join();
+    this->decisionThread.stop();
     this->ledgerServer.stop();
     this->ledgerClient.stop();
     this->upstreams.stop();
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_ENTRY_ENTRYPROCESS_H
 
 #include "base/program.h"
+#include "base/stoppablethread.h"
 #include "entry/decisionloop.h"
 #include "metrics/adminport.h"
 #include "rpc/agentlink.h"
@@ -9,7 +10,6 @@
 #include "rpc/ledgerserver.h"
 
 #include <memory>
-#include <thread>
 
 namespace bronzeshed {
 
@@ -73,7 +73,7 @@
     Incarnation incarnation;
     ControlInbox control;
     DecisionLoop decisions;
-    std::thread decisionThread;
+    StoppableThread decisionThread;
     std::unique_ptr<AgentLink> link;
     AdminPort adminPort;
     std::unique_ptr<HttpServer> admin;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewayprocess.h"
 
+#include "base/error.h"
 #include "base/logline.h"
 
 #include <algorithm>
@@ -55,6 +56,21 @@
     return http;
 }
 
+/** Opens a server, and names its setting in the log if that fails. */
+HttpServer openServer(const char *setting, const Endpoint &endpoint, const HttpLimits &limits,
+                      HttpHandler &handler)
+{
+    try {
+        return HttpServer(endpoint, limits, handler);
+    } catch (const Error &error) {
+        LogLine("listen_failed", LogLevel::Error)
+            .add("setting", setting)
+            .add("address", endpoint.toString())
+            .add("error", error.what());
+        throw;
+    }
+}
+
 } // namespace
 
 GatewayProcess::GatewayProcess(const GatewayOptions &gatewayOptions)
@@ -65,7 +81,7 @@
     , probeRing(MaxProbes, wakeup)
     , metrics(MaxMetricEvents)
     , callerPort(callerRing, departureRing)
-    , callers(gatewayOptions.callers, httpLimits(CallerLimits{}), callerPort)
+    , callers(openServer("listen", gatewayOptions.callers, httpLimits(CallerLimits{}), callerPort))
     , upstreams(poolLimits(), attemptRing, probeRing, protocol)
     , loop(this->loopOptions(),
            {wakeup, callerRing, departureRing, attemptRing, probeRing, upstreams, metrics,
@@ -75,15 +91,15 @@
                    health, *this)
     , registrar(gatewayOptions.store, this->ownMember(), gatewayOptions.seeds, health,
                 storeWatcher.relayDuties())
-    , loopThread([this] { this->loop.run(); })
+    , loopThread([this] { this->loop.run(); }, [this] { this->loop.stop(); })
     , snapshotPort(storeWatcher)
     , lookupPort(*this)
-    , lookups(gatewayOptions.lookups, HttpLimits{}, lookupPort)
+    , lookups(openServer("lookup-listen", gatewayOptions.lookups, HttpLimits{}, lookupPort))
     , readinessPort(*this)
-    , readiness(gatewayOptions.readiness, HttpLimits{}, readinessPort)
-    , peers(gatewayOptions.peers, HttpLimits{}, snapshotPort)
+    , readiness(openServer("ready-listen", gatewayOptions.readiness, HttpLimits{}, readinessPort))
+    , peers(openServer("peer-listen", gatewayOptions.peers, HttpLimits{}, snapshotPort))
     , adminPort(*this)
-    , admin(gatewayOptions.admin, HttpLimits{}, adminPort)
+    , admin(openServer("admin-listen", gatewayOptions.admin, HttpLimits{}, adminPort))
 {
     this->storeWatcher.start();
 }
@@ -97,8 +113,7 @@
     this->storeWatcher.stop();
     this->registrar.deregister();
     this->callers.stop();
-    this->loop.stop();
-    this->loopThread.join();
+    this->loopThread.stop();
     this->upstreams.stop();
 }
 
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_GATEWAY_GATEWAYPROCESS_H
 
 #include "base/program.h"
+#include "base/stoppablethread.h"
 #include "gateway/gatewayloop.h"
 #include "gateway/registrar.h"
 #include "gateway/storewatcher.h"
@@ -10,7 +11,6 @@
 #include "platform/wireheaders.h"
 
 #include <memory>
-#include <thread>
 
 namespace bronzeshed {
 
@@ -92,7 +92,7 @@
     StoreHealth health;
     StoreWatcher storeWatcher;
     Registrar registrar;
-    std::thread loopThread;
+    StoppableThread loopThread;
     SnapshotPort snapshotPort;
     LookupPort lookupPort;
     HttpServer lookups;
--- a/tests/gateway/gatewaydeployment.cpp
+++ b/tests/gateway/gatewaydeployment.cpp
@@ -1,10 +1,11 @@
 #include "gatewaydeployment.h"
 
+#include "base/filedescriptor.h"
 #include "http/httpclient.h"
 
 #include <arpa/inet.h>
+#include <stdexcept>
 #include <sys/socket.h>
-#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -12,20 +13,35 @@
 
 namespace {
 
-/** Returns an endpoint with a free port. Members announce the configured address, so not port 0. */
-std::string freeEndpoint()
+bool isFree(std::uint16_t port)
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    const FileDescriptor socket(::socket(AF_INET, SOCK_STREAM, 0));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    if (::bind(socket, generic, size) != 0 || ::getsockname(socket, generic, &size) != 0) {
-        throw std::system_error(errno, std::generic_category(), "bind");
+    address.sin_port = htons(port);
+    return ::bind(socket.get(), reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+}
+
+/**
+ * Returns an endpoint with a free port. Members announce the configured address, so not port 0. The
+ * ports lie below those that the system gives to outgoing connections: one of these could take the
+ * port while its gateway restarts.
+ */
+std::string freeEndpoint()
+{
+    constexpr std::uint16_t FirstPort = 12000;
+    constexpr std::uint16_t Ports = 18000;
+    // Test programs that run at the same time begin at different ports.
+    constexpr std::uint32_t PortsPerProcess = 97;
+    static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * PortsPerProcess;
+    for (std::uint32_t attempt = 0; attempt < Ports; ++attempt) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % Ports);
+        if (isFree(port)) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
     }
-    ::close(socket);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    throw std::runtime_error("no free port below those of outgoing connections");
 }
 
 std::string rule(const std::string &name, const std::string &kind, const std::string &service)
--- a/tests/processes/childprocess.cpp
+++ b/tests/processes/childprocess.cpp
@@ -26,10 +26,9 @@
     return std::string(folder) + "/" + program;
 }
 
-} // namespace
-
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &flags)
-    : program(program)
+/** Starts a program whose output goes to the returned end of a pipe. */
+FileDescriptor startProgram(const std::string &program, const std::vector<std::string> &flags,
+                            pid_t &pid)
 {
     const std::string path = binaryPath(program);
     std::vector<char *> arguments{const_cast<char *>(path.c_str())};
@@ -41,16 +40,30 @@
     if (::pipe2(ends, O_CLOEXEC) != 0) {
         throw std::system_error(errno, std::generic_category(), "pipe2");
     }
-    this->output = FileDescriptor(ends[0]);
+    FileDescriptor readEnd(ends[0]);
     const FileDescriptor writeEnd(ends[1]);
-    this->pid = ::fork();
-    if (this->pid == 0) {
+    pid = ::fork();
+    if (pid == 0) {
         // The child ends with the test, even if the test is ended by a timeout.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(writeEnd.get(), STDOUT_FILENO);
         ::execv(path.c_str(), arguments.data());
         ::_exit(127);
     }
+    return readEnd;
+}
+
+int exitCodeOf(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &flags)
+    : program(program)
+    , output(startProgram(program, flags, this->pid))
+{
     this->listening = this->address("listening");
 }
 
@@ -134,7 +147,7 @@
     const auto ended = [this] {
         int status = 0;
         if (!this->exitCode && ::waitpid(this->pid, &status, WNOHANG) == this->pid) {
-            this->exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+            this->exitCode = exitCodeOf(status);
         }
         return this->exitCode.has_value();
     };
@@ -142,6 +155,22 @@
     return this->exitCode;
 }
 
+ProcessEnd runToEnd(const std::string &program, const std::vector<std::string> &flags)
+{
+    pid_t pid = -1;
+    const FileDescriptor output = startProgram(program, flags, pid);
+    ProcessEnd end;
+    char chunk[512];
+    for (auto size = ::read(output.get(), chunk, sizeof chunk); size > 0;
+         size = ::read(output.get(), chunk, sizeof chunk)) {
+        end.output.append(chunk, static_cast<std::size_t>(size));
+    }
+    int status = 0;
+    ::waitpid(pid, &status, 0);
+    end.exitCode = exitCodeOf(status);
+    return end;
+}
+
 bool waitFor(const std::function<bool()> &condition, std::chrono::seconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/tests/processes/childprocess.h
+++ b/tests/processes/childprocess.h
@@ -55,6 +55,16 @@
     std::optional<int> exitCode;
 };
 
+/** How a process ended. */
+struct ProcessEnd
+{
+    int exitCode = 0; ///< 128 + signal if a signal ended it
+    std::string output;
+};
+
+/** Runs @p program from the folder of the binaries under test until it ends. */
+ProcessEnd runToEnd(const std::string &program, const std::vector<std::string> &flags);
+
 /** Polls until @p condition holds. @return whether it did within @p limit */
 bool waitFor(const std::function<bool()> &condition,
              std::chrono::seconds limit = std::chrono::seconds(30));
