Let an odd entry in the store affect nothing but itself

Operators of a similar system reported machines that ended, or stopped following the store, because of one odd entry of another writer.

Tried with entries nested 50,000 deep, numbers above 2^32, 2^63 and 2^64, ports 0 and 65536, and keys and values that are no text. A key that is not UTF-8 made every gateway stop following the store and a new one answer 503, since the parser rejected the whole answer. Registrations with port 0, with 2^32 + 2 slots or with a line break in the id were accepted.

The store's answers may now hold any bytes in texts. Such registrations are rejected, and any exception while an item is decoded rejects this item alone. Numbers of the configuration are limited to 2^32 - 1.

Measured: gateway_process/odd_entries_of_another_writer_do_no_harm and registration/extreme_registrations_are_rejected failed before and pass now.

--- a/src/gateway/storereplica.cpp
+++ b/src/gateway/storereplica.cpp
@@ -14,6 +14,8 @@
 
 /** Changes kept for entries that watch this replica; an entry further behind reads all items. */
 constexpr std::size_t MaxChangeLogSize = 512;
+/** The error may quote a malformed value of any size. */
+constexpr std::size_t MaxLoggedError = 300;
 
 /** Returns the part of @p key after @p prefix, or nothing if the prefix differs or is all of it. */
 std::optional<std::string_view> afterPrefix(std::string_view key, std::string_view prefix)
@@ -230,11 +232,12 @@
             this->workTimes.erase(item.key);
             this->workTimes.emplace(item.key, decodeWorkTimes(item.value));
         }
-    } catch (const Error &error) {
+    } catch (const std::exception &error) {
+        // Whatever another writer leaves in the store, all other items stay in use.
         LogLine("store_item_rejected", LogLevel::Warning)
             .add("key", item.key)
             .add("revision", item.revision.value())
-            .add("error", error.what());
+            .add("error", std::string_view(error.what()).substr(0, MaxLoggedError));
     }
 }
 
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -3,7 +3,9 @@
 #include "base/error.h"
 #include "base/parsenumber.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <limits>
 
 namespace bronzeshed {
 
@@ -52,13 +54,17 @@
     return std::string(value.get_string());
 }
 
+/** Larger numbers mean no limit in practice, and would not fit the types that they are stored in.
+ */
+constexpr double MaxNumber = std::numeric_limits<std::uint32_t>::max();
+
 double readNumber(const json::object &object, const char *name)
 {
     const json::value &value = requireField(object, name);
     if (!value.is_number() || value.to_number<double>() < 0) {
         reject(std::string("field '") + name + "' is not a non-negative number");
     }
-    return value.to_number<double>();
+    return std::min(value.to_number<double>(), MaxNumber);
 }
 
 std::chrono::milliseconds readMilliseconds(const json::object &object, const char *name)
--- a/src/platform/registration.cpp
+++ b/src/platform/registration.cpp
@@ -2,7 +2,9 @@
 
 #include "base/error.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <cctype>
 
 namespace bronzeshed {
 
@@ -33,6 +35,17 @@
     return std::string(value->get_string());
 }
 
+/** An upstream with more slots is not plausible, and the number must fit the type of the field. */
+constexpr std::int64_t MaxSlots = 1'000'000;
+
+/** The id is sent in a header, where blanks and control characters have another meaning. */
+bool isValidId(std::string_view id)
+{
+    return !id.empty() && std::all_of(id.begin(), id.end(), [](char character) {
+        return std::isgraph(static_cast<unsigned char>(character)) != 0;
+    });
+}
+
 std::int64_t readNumber(const json::object &object, const char *name)
 {
     const json::value *value = object.if_contains(name);
@@ -55,6 +68,9 @@
     const json::object &object = root.get_object();
     const json::object &info = readObject(object, "info");
     const json::object &status = readObject(object, "status");
+    if (!isValidId(id)) {
+        reject("the id is empty or has blanks or control characters");
+    }
     UpstreamInfo upstream;
     upstream.id = UpstreamId(std::string(id));
     try {
@@ -62,6 +78,9 @@
     } catch (const SettingsError &invalid) {
         reject(std::string("invalid address: ") + invalid.what());
     }
+    if (upstream.endpoint.port == 0) {
+        reject("the address has port 0");
+    }
     upstream.service = ServiceName(readString(info, "service"));
     upstream.zone = ZoneName(readString(info, "zone"));
     const auto region = regions.find(upstream.zone);
@@ -69,7 +88,11 @@
         reject("unknown availability zone '" + upstream.zone.value() + "'");
     }
     upstream.region = region->second;
-    upstream.slots = static_cast<unsigned>(readNumber(info, "slots"));
+    const std::int64_t slots = readNumber(info, "slots");
+    if (slots > MaxSlots) {
+        reject("more than " + std::to_string(MaxSlots) + " slots");
+    }
+    upstream.slots = static_cast<unsigned>(slots);
     const std::string state = readString(status, "state");
     if (state != "ready" && state != "draining") {
         reject("unknown state '" + state + "'");
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -16,8 +16,11 @@
 
 json::object parseObject(std::string_view body)
 {
+    // Another writer's key may hold any bytes; one such key must not hide the other items.
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
     boost::system::error_code error;
-    json::value root = json::parse({body.data(), body.size()}, error);
+    json::value root = json::parse({body.data(), body.size()}, error, {}, options);
     if (error || !root.is_object()) {
         throw ProtocolError("the metadata store's response is not a JSON object", Remedy);
     }
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -325,4 +325,39 @@
     BOOST_TEST(deployment.executions.countAt("reads-0") == before);
 }
 
+// Another writer leaves odd entries among those of the upstreams and of the fleet. Guards against
+// instances that end when they read them, or that follow no further change.
+BOOST_AUTO_TEST_CASE(odd_entries_of_another_writer_do_no_harm)
+{
+    GatewayDeployment deployment(2, 2);
+    const std::string deep(50'000, '[');
+    const std::string odd = R"({"address":"127.0.0.1:1","info":{"service":"reads","zone":"z",)"
+                            R"("slots":4294967298},"status":{"state":"ready","warmupLeftMs":0}})";
+    for (const std::string prefix :
+         {"servers/", "bronzeshed/entries/", "bronzeshed/work-times/", ""}) {
+        deployment.store.put(prefix + "odd-deep", deep);
+        deployment.store.put(prefix + "odd-number", odd);
+        deployment.store.put(prefix + "odd-float", R"({"slots":1e400,"x":-9e99999})");
+        deployment.store.put(prefix + "odd-bytes", std::string("\xff\x00\xc3", 3));
+        deployment.store.put(prefix + "odd-key\xff\r\nX: y", odd);
+    }
+    deployment.configure(true);
+    for (const TestGateway &gateway : deployment.gateways) {
+        BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", ConfigLimit),
+                   gateway.id);
+    }
+    // A new process reads all entries at once.
+    TestGateway &gateway = deployment.gateways[1];
+    gateway.process->kill();
+    deployment.start(gateway);
+    BOOST_TEST(GatewayDeployment::servesWithin(gateway.callers, "/extra/a", 3s));
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(
+            GatewayDeployment::call(gateway.callers, "GET", "/reads/a", "o" + std::to_string(i))
+                .status
+            == 200U);
+    }
+    BOOST_TEST(!deployment.gateways[0].process->waitForExit(0s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/configurationtest.cpp
+++ b/tests/platform/configurationtest.cpp
@@ -94,4 +94,18 @@
     }
 }
 
+// Guards against a huge number that becomes a small or negative one in the type that stores it.
+BOOST_AUTO_TEST_CASE(huge_numbers_stay_large)
+{
+    std::string text = configuration(rule(ToService));
+    for (const char *number : {":800", ":200,\"priority", ":200,\"header"}) {
+        text.replace(text.find(number), 4, ":1e300");
+    }
+    const Declaration declaration = parseConfiguration(text).declaration;
+    const ClassTarget &target = declaration.classes.at(ClassName("route"));
+    BOOST_CHECK(target.deadline > 1h);
+    BOOST_CHECK(target.answerWithin > 1h);
+    BOOST_TEST(declaration.callerLimits.bodyBytes > 1'000'000'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/registrationtest.cpp
+++ b/tests/platform/registrationtest.cpp
@@ -56,4 +56,29 @@
     }
 }
 
+// Guards against an odd entry of another writer that ends the process, and against one whose
+// numbers become valid ones when they are narrowed.
+BOOST_AUTO_TEST_CASE(extreme_registrations_are_rejected)
+{
+    const auto withAddress = [](const std::string &address) {
+        return R"({"address":")" + address
+            + R"(","info":{"service":"s","zone":"z1","slots":2},)"
+              R"("status":{"state":"ready","warmupLeftMs":0}})";
+    };
+    const std::string deep(100'000, '[');
+    for (const std::string &extreme :
+         {deep, makeRegistration("ready", "2", R"(,"extra":)" + deep + std::string(100'000, ']')),
+          makeRegistration("ready", "4294967298"), makeRegistration("ready", "9223372036854775807"),
+          makeRegistration("ready", "18446744073709551616"), makeRegistration("ready", "1e400"),
+          makeRegistration("ready", "2", R"(,"born":99999999999999999999)"),
+          withAddress("10.0.0.9:0"), withAddress("10.0.0.9:65536"),
+          withAddress("10.0.0.9:18446744073709551617"), withAddress("10.0.0.9:-1"),
+          withAddress("10.0.0.9:"), withAddress("[::1]:80")}) {
+        BOOST_CHECK_THROW(parseRegistration("i-1", extreme, Zones), ProtocolError);
+    }
+    for (const std::string &id : {std::string("a\r\nX: y"), std::string("a b"), std::string()}) {
+        BOOST_CHECK_THROW(parseRegistration(id, makeRegistration(), Zones), ProtocolError);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
