Check the store soon after another thread has lost it, and ask relays meanwhile

The watcher now tells the registrar. While the store can't be asked, relays are checked at any age of the replica. After the store has lost its history, the whole read follows without the pause for batching.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -171,6 +171,11 @@
     this->registrar.setRole(role, relay);
 }
 
+void GatewayProcess::storeUnreachable()
+{
+    this->registrar.storeUnreachable();
+}
+
 void GatewayProcess::registrationQueued()
 {
     this->registrar.registrationRequested();
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -68,6 +68,7 @@
     void replicaChanged() override;
     void registrationRead(const std::optional<StoreItem> &registration) override;
     void roleChanged(ZoneRole role, const std::optional<Endpoint> &relay) override;
+    void storeUnreachable() override;
     void registrationQueued() override;
 
     GatewayLoopOptions loopOptions() const;
--- a/src/gateway/registrar.cpp
+++ b/src/gateway/registrar.cpp
@@ -84,6 +84,12 @@
     }
 }
 
+void Registrar::storeUnreachable()
+{
+    const std::lock_guard lock(this->mutex);
+    this->wakeAt(std::chrono::steady_clock::now() + this->period(this->situation));
+}
+
 void Registrar::registrationRequested()
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/registrar.h
+++ b/src/gateway/registrar.h
@@ -37,6 +37,8 @@
     void registrationRead(const std::optional<StoreItem> &registration);
     /** Sets the role in the zone and, for a follower, its relay. Thread-safe. */
     void setRole(ZoneRole role, const std::optional<Endpoint> &relay);
+    /** The store does not answer other threads; checks soon whether it is back. Thread-safe. */
+    void storeUnreachable();
     /** Another entry has asked for its registration to be written. Thread-safe. */
     void registrationRequested();
     /** Sets the work times that this entry publishes while it is the relay. Thread-safe. */
--- a/src/gateway/relaywatchlimits.cpp
+++ b/src/gateway/relaywatchlimits.cpp
@@ -14,12 +14,15 @@
 
 } // namespace
 
-std::optional<RelayWatchLimits> nextRelayWatch(Duration age)
+std::optional<RelayWatchLimits> nextRelayWatch(Duration age, bool storeReachable)
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(MaxAgeFromRelays - age);
     if (left >= RelayWait + RelayTimeout + NextRelayTime) {
         return RelayWatchLimits{RelayWait, RelayTimeout};
     }
+    if (!storeReachable) {
+        return RelayWatchLimits{ConfirmationWait, RelayTimeout};
+    }
     if (left < MinRelayTimeout + ConfirmationWait) {
         return std::nullopt;
     }
--- a/src/gateway/relaywatchlimits.h
+++ b/src/gateway/relaywatchlimits.h
@@ -30,8 +30,9 @@
  * Load pattern: some relays of a zone fall silent at once, while the store would answer. All
  * watches at relays together leave the replica no older than MaxAgeFromRelays.
  * @param age time since the replica was known to be complete
+ * @param storeReachable whether the store can be asked; if not, a relay is checked at any age
  */
-std::optional<RelayWatchLimits> nextRelayWatch(Duration age);
+std::optional<RelayWatchLimits> nextRelayWatch(Duration age, bool storeReachable);
 
 } // namespace bronzeshed
 
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -108,6 +108,7 @@
         }
         this->setRoleWithoutRelay(false);
         this->degradedUntil = std::chrono::steady_clock::now() + DegradedTime;
+        this->events.storeUnreachable();
         this->queryPeers();
         this->pauseWhileUnreachable(PeerPeriod);
     }
@@ -179,7 +180,9 @@
         this->publishUnconfirmed();
         const bool degraded = std::chrono::steady_clock::now() < this->degradedUntil;
         this->watch(source, degraded ? DegradedWatchWait : WatchWait);
-        this->pause(BatchTime);
+        if (this->synchronized) {
+            this->pause(BatchTime);
+        }
     }
     this->health.recordSuccess(std::chrono::steady_clock::now());
     this->setRoleWithoutRelay(true);
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -39,6 +39,8 @@
     virtual void registrationRead(const std::optional<StoreItem> &registration) = 0;
     /** The role of this entry has changed, or the relay that it follows. */
     virtual void roleChanged(ZoneRole role, const std::optional<Endpoint> &relay) = 0;
+    /** The store does not answer; whether it is back is to be checked on another thread. */
+    virtual void storeUnreachable() = 0;
     /** Another entry has asked this one to write its registration. */
     virtual void registrationQueued() = 0;
 };
--- a/src/gateway/storewatcherrelay.cpp
+++ b/src/gateway/storewatcherrelay.cpp
@@ -68,7 +68,7 @@
         return false;
     }
     const TimePoint start = std::chrono::steady_clock::now();
-    const auto limits = nextRelayWatch(this->age.at(start));
+    const auto limits = nextRelayWatch(this->age.at(start), this->health.isReachable());
     if (!limits) {
         return false;
     }
--- a/tests/gateway/relaydecisionstest.cpp
+++ b/tests/gateway/relaydecisionstest.cpp
@@ -93,7 +93,7 @@
     for (Duration ageAtStart = 0ms; ageAtStart <= 2s; ageAtStart += 7ms) {
         Duration age = ageAtStart;
         unsigned watches = 0;
-        while (const auto limits = nextRelayWatch(age)) {
+        while (const auto limits = nextRelayWatch(age, true)) {
             ++watches;
             BOOST_REQUIRE((limits->wait > 0ms && limits->timeout > 0ms));
             age += limits->wait + limits->timeout;
@@ -101,10 +101,12 @@
         }
         BOOST_TEST((watches >= 2 || ageAtStart > 900ms));
     }
-    const auto regular = nextRelayWatch(0ms);
+    const auto regular = nextRelayWatch(0ms, true);
     BOOST_REQUIRE(regular.has_value());
     BOOST_TEST((regular->wait + regular->timeout == 1300ms));
-    BOOST_TEST(!nextRelayWatch(MaxAgeFromRelays).has_value());
+    BOOST_TEST(!nextRelayWatch(MaxAgeFromRelays, true).has_value());
+    // While the store is away, a relay must still hear of the entry.
+    BOOST_TEST(nextRelayWatch(10s, false).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
