Poll for an expected status with one function in the tests of the gateway

Two new tests repeated the loop that polls a gateway until a route is there or gone. GatewayDeployment::answersWithin() serves them, with the limits and expectations as before.

--- a/tests/gateway/configurationagetest.cpp
+++ b/tests/gateway/configurationagetest.cpp
@@ -52,12 +52,9 @@
         deployment.configure(extra);
         const TimePoint limit = std::chrono::steady_clock::now() + ConfigLimit;
         for (const std::size_t other : {2U, 3U}) {
-            const Endpoint &callers = deployment.gateways[other].callers;
-            unsigned status = 0;
-            while (status != (extra ? 200U : 404U) && std::chrono::steady_clock::now() < limit) {
-                status = GatewayDeployment::call(callers, "GET", "/extra/a", "b").status;
-            }
-            BOOST_TEST(status == (extra ? 200U : 404U),
+            BOOST_TEST(GatewayDeployment::answersWithin(deployment.gateways[other].callers,
+                                                        "/extra/a", extra ? 200 : 404,
+                                                        limit - std::chrono::steady_clock::now()),
                        "gateway " << other << ", change " << change);
         }
         std::this_thread::sleep_for(300ms);
--- a/tests/gateway/gatewaydeployment.cpp
+++ b/tests/gateway/gatewaydeployment.cpp
@@ -200,15 +200,15 @@
     }
 }
 
-bool GatewayDeployment::servesWithin(const Endpoint &gateway, const std::string &path,
-                                     Duration limit)
+bool GatewayDeployment::answersWithin(const Endpoint &gateway, const std::string &path,
+                                      unsigned status, Duration limit)
 {
     const TimePoint end = std::chrono::steady_clock::now() + limit;
     while (std::chrono::steady_clock::now() < end) {
-        if (call(gateway, "GET", path, "probe").status == 200) {
+        if (call(gateway, "GET", path, "probe").status == status) {
             return true;
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
     return false;
 }
--- a/tests/gateway/gatewaydeployment.h
+++ b/tests/gateway/gatewaydeployment.h
@@ -49,8 +49,14 @@
     /** Number of entries in a gateway's answer to a lookup. */
     static std::size_t listedEntries(const TestGateway &gateway);
     static unsigned statusOf(const Endpoint &endpoint, const std::string &path);
-    /** Polls until a GET request to a gateway succeeds. @return whether it did within @p limit */
-    static bool servesWithin(const Endpoint &gateway, const std::string &path, Duration limit);
+    /** Polls with GET requests until one is answered with @p status. @return whether one was */
+    static bool answersWithin(const Endpoint &gateway, const std::string &path, unsigned status,
+                              Duration limit);
+    /** The same for a successful answer. */
+    static bool servesWithin(const Endpoint &gateway, const std::string &path, Duration limit)
+    {
+        return answersWithin(gateway, path, 200, limit);
+    }
     /** Writes the registration of an upstream with the address of its proxy. */
     void registerUpstream(std::size_t number, const std::string &state);
 
--- a/tests/gateway/gatewayprocesstest.cpp
+++ b/tests/gateway/gatewayprocesstest.cpp
@@ -223,13 +223,10 @@
         deployment.configure(extra);
         const TimePoint limit = std::chrono::steady_clock::now() + ConfigLimit;
         for (const std::size_t follower : {2U, 3U}) {
-            unsigned status = 0;
-            while (status != (extra ? 200U : 404U) && std::chrono::steady_clock::now() < limit) {
-                status = GatewayDeployment::call(deployment.gateways[follower].callers, "GET",
-                                                 "/extra/a", "b")
-                             .status;
-            }
-            BOOST_TEST(status == (extra ? 200U : 404U), "gateway " << follower);
+            BOOST_TEST(GatewayDeployment::answersWithin(deployment.gateways[follower].callers,
+                                                        "/extra/a", extra ? 200 : 404,
+                                                        limit - std::chrono::steady_clock::now()),
+                       "gateway " << follower);
         }
     }
     BOOST_TEST(followerWatches() == before);
