--- a/tests/gateway/soaktest.cpp
+++ b/tests/gateway/soaktest.cpp
@@ -130,7 +130,7 @@
             break;
         case 5:
             gateway.process->signal(SIGTERM);
-            BOOST_TEST((gateway.process->waitForExit(6s) == 0));
+            this->awaitPlannedStop(*gateway.process);
             this->deployment.start(gateway);
             break;
         case 6:
@@ -160,6 +160,16 @@
     bool extraRoute = false; ///< whether the configuration has the extra route
 
 private:
+    static void awaitPlannedStop(ChildProcess &process)
+    {
+        const TimePoint start = std::chrono::steady_clock::now();
+        const std::optional<int> exitCode = process.waitForExit(6s);
+        const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - start;
+        BOOST_TEST((exitCode == 0),
+                   "planned stop with exit code " << exitCode.value_or(-1) << " after "
+                                                  << taken.count() << " s; -1: still running");
+    }
+
     GatewayDeployment &deployment;
     SeededRandom random;
 };
