Name what a full list of ids of a pooled connection means

PooledConnection::recordsFull() replaces a figurative name. No change of behaviour; http-test passes.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -395,7 +395,7 @@
     }
     if (!this->isSuccess() && !this->rules.echoValue.empty()) {
         this->connection->recordUnsuccessful(this->rules.echoValue);
-        if (this->connection->isWornOut()) {
+        if (this->connection->recordsFull()) {
             return;
         }
     }
--- a/src/http/pooledconnection.h
+++ b/src/http/pooledconnection.h
@@ -63,8 +63,8 @@
                          std::hash<std::string>{}(id))
             == this->unsuccessfulIds.end();
     }
-    /** Whether no further id can be recorded, so that the connection must be closed. */
-    bool isWornOut() const { return this->unsuccessfulIds.size() >= MaxUnsuccessfulIds; }
+    /** Whether no further id can be recorded, so that the connection must not be used again. */
+    bool recordsFull() const { return this->unsuccessfulIds.size() >= MaxUnsuccessfulIds; }
 
     boost::beast::tcp_stream stream;
     /** Limited, because a faulty server may send a header or a chunk extension without end. */
