--- a/src/entry/upstreamprotocol.cpp
+++ b/src/entry/upstreamprotocol.cpp
@@ -42,6 +42,7 @@
 {
     AttemptReport report;
     report.status = toAttemptStatus(result.status);
+    report.connection = result.connection;
     if (result.status != ExchangeStatus::Answered) {
         return report;
     }
--- a/src/gateway/calllog.cpp
+++ b/src/gateway/calllog.cpp
@@ -59,15 +59,19 @@
 
 void CallLog::attemptEnded(const RequestId &id, AttemptId attempt, const AttemptReport &report)
 {
-    if (report.isSuccess() || !this->mayLog()) {
+    const bool asExpected = report.isSuccess() && report.connection.skippedResponses == 0;
+    if (asExpected || !this->mayLog()) {
         return;
     }
-    LogLine("attempt_failed", LogLevel::Warning)
+    LogLine(report.isSuccess() ? "responses_skipped" : "attempt_failed", LogLevel::Warning)
         .add("request_id", id.value())
         .add("attempt", attempt.value())
         .add("status", attemptStatusName(report.status))
         .add("http_status", report.httpStatus)
-        .add("leaving", report.draining);
+        .add("leaving", report.draining)
+        .add("connection", report.connection.number)
+        .add("connection_use", report.connection.use)
+        .add("skipped_responses", report.connection.skippedResponses);
 }
 
 void CallLog::callFinished(const FinishedCall &call)
@@ -83,7 +87,8 @@
         .add("status", call.status)
         .add("attempts", call.attempts)
         .add("latency_ms", toMilliseconds(call.latency))
-        .add("config_version", call.version.value());
+        .add("config_version", call.version.value())
+        .add("view_age_ms", toMilliseconds(call.viewAge));
 }
 
 } // namespace bronzeshed
--- a/src/gateway/calllog.h
+++ b/src/gateway/calllog.h
@@ -22,6 +22,7 @@
     unsigned attempts = 0;
     Duration latency = Duration::zero();
     ConfigVersion version; ///< active version
+    Duration viewAge = Duration::zero(); ///< since the copy of the store was known to be complete
 };
 
 /** Logs the routing decisions about calls. Lines above a rate limit are dropped and counted. */
--- a/src/gateway/gatewayloop.cpp
+++ b/src/gateway/gatewayloop.cpp
@@ -245,7 +245,8 @@
     this->metrics.callFinished(headers, this->findTarget(headers.className), arrival, outcome,
                                reason);
     this->log.callFinished({headers.requestId, headers.className, outcome, reason, response.status,
-                            attempts, this->clock.now() - arrival, this->state.version});
+                            attempts, this->clock.now() - arrival, this->state.version,
+                            this->ports.replicaAge.at(this->clock.now())});
     exchange.respond(std::move(response));
 }
 
--- a/src/gateway/gatewayloop.h
+++ b/src/gateway/gatewayloop.h
@@ -7,6 +7,7 @@
 #include "entry/upstreamport.h"
 #include "gateway/calllog.h"
 #include "gateway/drainadmission.h"
+#include "gateway/replicaage.h"
 #include "gateway/storereplica.h"
 #include "routing/dispatcher.h"
 
@@ -37,6 +38,7 @@
     EventRing<ProbeEvent> &probes;
     UpstreamPort &upstreams;
     MetricsHub &metrics;
+    const ReplicaAge &replicaAge;
     std::function<void(WorkTimes)> workTimesMeasured; ///< called on the decision thread
 };
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/logline.h"
+#include "metrics/textexposition.h"
 
 #include <algorithm>
 
@@ -82,13 +83,15 @@
     , metrics(MaxMetricEvents)
     , callerPort(callerRing, departureRing)
     , callers(openServer("listen", gatewayOptions.callers, httpLimits(CallerLimits{}), callerPort))
+    , replicaAge(std::chrono::steady_clock::now())
     , upstreams(poolLimits(), attemptRing, probeRing, protocol)
     , loop(this->loopOptions(),
            {wakeup, callerRing, departureRing, attemptRing, probeRing, upstreams, metrics,
+            replicaAge,
             [this](WorkTimes times) { this->registrar.setWorkTimes(std::move(times)); }})
     , storeWatcher({gatewayOptions.store, gatewayOptions.instance, gatewayOptions.region,
                     gatewayOptions.zone, gatewayOptions.regions, gatewayOptions.seeds},
-                   health, *this)
+                   health, replicaAge, *this)
     , registrar(gatewayOptions.store, this->ownMember(), gatewayOptions.seeds, health,
                 storeWatcher.relayDuties())
     , loopThread([this] { this->loop.run(); }, [this] { this->loop.stop(); })
@@ -153,6 +156,7 @@
         this->activeLimits = state.declaration->callerLimits;
         this->callers.setLimits(httpLimits(this->activeLimits));
     }
+    this->configVersion.store(state.version.value());
     this->loop.setState(std::move(state));
 }
 
@@ -223,7 +227,20 @@
 std::string GatewayProcess::metricsText()
 {
     this->tick();
-    return this->metrics.render();
+    return this->metrics.render() + this->viewMetricsText();
+}
+
+std::string GatewayProcess::viewMetricsText() const
+{
+    TextExposition output;
+    output.begin("bronzeshed_view_age_seconds", "gauge",
+                 "Time since the copy of the store was known to be complete.");
+    const Duration age = this->replicaAge.at(std::chrono::steady_clock::now());
+    output.sample({}, std::chrono::duration<double>(age).count());
+    output.begin("bronzeshed_configuration_version", "gauge",
+                 "Version of the configuration in the copy of the store.");
+    output.sample({}, static_cast<double>(this->configVersion.load()));
+    return output.text();
 }
 
 void GatewayProcess::tick()
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -64,6 +64,7 @@
     bool isReady() override;
     std::string metricsText() override;
     std::string notReadyReason() override;
+    std::string viewMetricsText() const;
     void stateChanged(FleetState state) override;
     void replicaChanged() override;
     void registrationRead(const std::optional<StoreItem> &registration) override;
@@ -83,6 +84,7 @@
     MetricsHub metrics;
     CallerPort callerPort;
     HttpServer callers;
+    ReplicaAge replicaAge;
     PlatformUpstreamProtocol protocol;
     UpstreamPort upstreams;
     GatewayLoop loop;
@@ -90,6 +92,7 @@
     std::mutex membersMutex;
     std::vector<Member> members;
     CallerLimits activeLimits;
+    std::atomic<std::uint64_t> configVersion{0};
     StoreHealth health;
     StoreWatcher storeWatcher;
     Registrar registrar;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -42,15 +42,15 @@
 
 } // namespace
 
-StoreWatcher::StoreWatcher(StoreWatcherOptions watcherOptions, StoreHealth &health,
+StoreWatcher::StoreWatcher(StoreWatcherOptions watcherOptions, StoreHealth &health, ReplicaAge &age,
                            StoreWatcherEvents &events)
     : options(std::move(watcherOptions))
     , health(health)
+    , age(age)
     , events(events)
     , random(makeSystemRandom())
     , replica(this->options.regions)
     , duties(this->options.store, *this)
-    , age(std::chrono::steady_clock::now())
 {
 }
 
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -54,7 +54,8 @@
 class StoreWatcher : public SnapshotSource, private ZoneRegistrations
 {
 public:
-    StoreWatcher(StoreWatcherOptions options, StoreHealth &health, StoreWatcherEvents &events);
+    StoreWatcher(StoreWatcherOptions options, StoreHealth &health, ReplicaAge &age,
+                 StoreWatcherEvents &events);
     ~StoreWatcher() override;
 
     StoreRange snapshot(ReadMode mode) override;
@@ -117,12 +118,12 @@
 
     StoreWatcherOptions options;
     StoreHealth &health;
+    ReplicaAge &age;
     StoreWatcherEvents &events;
     SeededRandom random;
     std::mutex mutex; ///< guards the replica
     StoreReplica replica;
     RelayDuties duties;
-    ReplicaAge age;
     bool synchronized = false; ///< the replica holds all items as of its revision
     TimePoint degradedUntil; ///< until this time, watches use a short wait
     std::atomic<ZoneRole> role{ZoneRole::Undecided};
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -81,6 +81,7 @@
     ConnectionPoolLimits limits;
     std::size_t bufferedBodyBytes = 0; ///< in the incomplete bodies of all exchanges
     std::atomic<std::size_t> connections{0};
+    std::uint64_t lastConnection = 0;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     asio::steady_timer sweepTimer;
@@ -128,6 +129,7 @@
     bool answersEarlierRequest() const;
     void skipResponse();
     void returnToPool();
+    ConnectionTrace trace() const;
     void fail();
     void finish(ExchangeResult result);
 
@@ -191,8 +193,8 @@
 
 void ConnectionPool::Implementation::Exchange::connect()
 {
-    this->connection
-        = std::make_unique<PooledConnection>(this->pool->context, this->pool->connections);
+    this->connection = std::make_unique<PooledConnection>(
+        this->pool->context, ++this->pool->lastConnection, this->pool->connections);
     const TimePoint limit = std::chrono::steady_clock::now() + this->pool->limits.connectTimeout;
     this->connection->stream.expires_at(std::min(limit, this->deadline));
     const tcp::endpoint address(asio::ip::make_address(this->endpoint.host), this->endpoint.port);
@@ -211,6 +213,7 @@
 void ConnectionPool::Implementation::Exchange::write()
 {
     this->writing = true;
+    ++this->connection->uses;
     this->connection->stream.expires_never();
     this->connection->setDeadline(this->deadline);
     // The complete request nearly always fits into the send buffer of the socket.
@@ -340,8 +343,9 @@
         return;
     }
     this->pool->idle.recordResponse(this->endpoint);
+    const ConnectionTrace trace = this->trace();
     this->returnToPool();
-    this->finish({ExchangeStatus::Answered, fromBeastResponse(this->parser->release())});
+    this->finish({ExchangeStatus::Answered, fromBeastResponse(this->parser->release()), trace});
 }
 
 bool ConnectionPool::Implementation::Exchange::isSuccess() const
@@ -407,9 +411,18 @@
     this->pool->idle.put(this->endpoint, std::move(this->connection));
 }
 
+ConnectionTrace ConnectionPool::Implementation::Exchange::trace() const
+{
+    if (!this->connection) {
+        return {};
+    }
+    return {this->connection->number, this->connection->uses, this->skippedResponses};
+}
+
 void ConnectionPool::Implementation::Exchange::fail()
 {
     ExchangeResult result;
+    result.connection = this->trace();
     if (!this->writing) {
         result.status = ExchangeStatus::NotSent;
     } else if (this->cancelled) {
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_HTTP_CONNECTIONPOOL_H
 
 #include "base/clock.h"
+#include "base/connectiontrace.h"
 #include "base/settings.h"
 #include "base/strongnumber.h"
 #include "http/httpmessage.h"
@@ -26,6 +27,7 @@
 {
     ExchangeStatus status = ExchangeStatus::NotSent;
     HttpResponse response; ///< valid if the status is Answered
+    ConnectionTrace connection;
 };
 
 /** Which idle connections an exchange may reuse. */
--- a/src/http/pooledconnection.h
+++ b/src/http/pooledconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <cerrno>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <sys/socket.h>
@@ -24,8 +25,10 @@
 class PooledConnection
 {
 public:
-    PooledConnection(boost::asio::io_context &context, std::atomic<std::size_t> &count)
-        : stream(context)
+    PooledConnection(boost::asio::io_context &context, std::uint64_t number,
+                     std::atomic<std::size_t> &count)
+        : number(number)
+        , stream(context)
         , timer(context.get_executor(), [this] { this->timeOut(); })
         , count(count)
     {
@@ -66,6 +69,8 @@
     /** Whether no further id can be recorded, so that the connection must not be used again. */
     bool recordsFull() const { return this->unsuccessfulIds.size() >= MaxUnsuccessfulIds; }
 
+    const std::uint64_t number; ///< unique within the pool
+    unsigned uses = 0; ///< exchanges started on this connection
     boost::beast::tcp_stream stream;
     /** Limited, because a faulty server may send a header or a chunk extension without end. */
     boost::beast::flat_buffer buffer{MaxBufferedBytes};
--- a/src/platform/wireheaders.cpp
+++ b/src/platform/wireheaders.cpp
@@ -117,6 +117,7 @@
 {
     AttemptReport report;
     report.status = toAttemptStatus(result.status);
+    report.connection = result.connection;
     if (result.status != ExchangeStatus::Answered) {
         return report;
     }
--- a/src/routing/dispatcheroutput.h
+++ b/src/routing/dispatcheroutput.h
@@ -2,6 +2,7 @@
 #define BRONZESHED_ROUTING_DISPATCHEROUTPUT_H
 
 #include "base/clock.h"
+#include "base/connectiontrace.h"
 #include "base/strongnumber.h"
 #include "membership/controlstate.h"
 #include "requests/outcome.h"
@@ -34,6 +35,7 @@
     bool draining = false; ///< the upstream reported that it is draining
     std::optional<LoadReport> load; ///< load reported by the upstream
     std::optional<Duration> serviceTime; ///< execution time reported by the upstream
+    ConnectionTrace connection; ///< tells late copies of responses from answers in the log
 
     /** Whether the response is complete and no server error: a failing upstream answers as well. */
     bool isSuccess() const
