Let the soak see old configurations and repeated refusals, and show what fails today

Two related paths of REFUSED fail on today's code: a trailer changes the outcome of a complete response, and connections of a protocol without ids are kept after a refusal; a refusal without an id on a kept connection and a success that claims not to have run are believed. A head that breaks off, at each of its bytes, is no answer today.

--- a/tests/gateway/configurationagetest.cpp
+++ b/tests/gateway/configurationagetest.cpp
@@ -61,6 +61,31 @@
     }
 }
 
+// The relay loses its watch just after an answer, while the store answers its other calls. Guards
+// against followers whose view is as old as that of the relay and their own wait together.
+BOOST_AUTO_TEST_CASE(a_relay_without_its_watch_delays_no_configuration_of_others)
+{
+    GatewayDeployment deployment(3, 1);
+    FaultyStorePort &port = *deployment.gateways[0].storePort;
+    bool extra = false;
+    for (int change = 0; change < 3; ++change) {
+        port.setFault(StoreFault::None);
+        std::this_thread::sleep_for(3s); // until the others watch the relay again
+        extra = !extra;
+        // The change ends the present watch; the next one follows after a pause.
+        deployment.configure(!extra);
+        port.setFault(StoreFault::SilentWatches);
+        deployment.configure(extra);
+        const TimePoint limit = std::chrono::steady_clock::now() + ConfigLimit;
+        for (const std::size_t other : {1U, 2U}) {
+            BOOST_TEST(GatewayDeployment::answersWithin(deployment.gateways[other].callers,
+                                                        "/extra/a", extra ? 200 : 404,
+                                                        limit - std::chrono::steady_clock::now()),
+                       "gateway " << other << ", change " << change);
+        }
+    }
+}
+
 // An instance starts without a relay while stale reads are seconds old. Guards against an instance
 // that makes only stale reads until it finds its own registration in them.
 BOOST_AUTO_TEST_CASE(an_instance_without_a_relay_starts_with_the_present_configuration)
--- a/tests/gateway/faultyproxy.cpp
+++ b/tests/gateway/faultyproxy.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds Delay{80};
+constexpr std::string_view RefusalStart = "HTTP/1.1 503";
 
 } // namespace
 
@@ -26,6 +27,7 @@
     tcp::socket server;
     std::array<char, 4096> fromClient{};
     std::array<char, 4096> fromServer{};
+    std::string lastRefusal; ///< of the server on this connection
 };
 
 FaultyProxy::FaultyProxy(const Endpoint &target)
@@ -91,7 +93,30 @@
                 this->close(connection);
                 return;
             }
-            this->deliver(connection, fromClient, std::string(bytes.data(), size));
+            std::string received(bytes.data(), size);
+            if (!fromClient && received.starts_with(RefusalStart)) {
+                connection->lastRefusal = received;
+            }
+            if (fromClient && !connection->lastRefusal.empty()
+                && this->fault.load() == ProxyFault::RepeatRefusals) {
+                this->repeatRefusal(connection, std::move(received));
+            } else {
+                this->deliver(connection, fromClient, std::move(received));
+            }
+        });
+}
+
+void FaultyProxy::repeatRefusal(const std::shared_ptr<Connection> &connection, std::string request)
+{
+    auto copy = std::make_shared<std::string>(connection->lastRefusal);
+    asio::async_write(
+        connection->client, asio::buffer(*copy),
+        [this, connection, copy, request = std::move(request)](error_code error, std::size_t) {
+            if (error) {
+                this->close(connection);
+                return;
+            }
+            this->deliver(connection, true, request);
         });
 }
 
--- a/tests/gateway/faultyproxy.h
+++ b/tests/gateway/faultyproxy.h
@@ -18,6 +18,7 @@
     Silent, ///< forwards no bytes; connections stay open
     OneWay, ///< forwards no bytes to the client
     Reset, ///< resets all connections
+    RepeatRefusals, ///< sends the last refusal on a connection once more after the next request
 };
 
 /** Loopback TCP proxy that injects faults, on a separate thread. */
@@ -38,6 +39,7 @@
 
     void accept();
     void forward(const std::shared_ptr<Connection> &connection, bool fromClient);
+    void repeatRefusal(const std::shared_ptr<Connection> &connection, std::string request);
     void deliver(const std::shared_ptr<Connection> &connection, bool fromClient, std::string bytes);
     bool discards(bool fromClient) const;
     void close(const std::shared_ptr<Connection> &connection);
--- a/tests/gateway/registeredupstream.cpp
+++ b/tests/gateway/registeredupstream.cpp
@@ -42,19 +42,22 @@
     const std::string id = request.headers.find("X-Bronzeshed-Request-Id").value_or("");
     const auto expected = request.headers.find("X-Bronzeshed-Expected-Instance");
     if (expected && *expected != this->name) {
-        exchange->respond(makeTextResponse(421, ""));
+        HttpResponse misdirected = makeTextResponse(421, "");
+        misdirected.headers.add("X-Bronzeshed-Request-Id", id);
+        exchange->respond(std::move(misdirected));
         return;
     }
     const UpstreamFault current = this->fault.load();
-    if (current == UpstreamFault::Shed) {
-        HttpResponse refusal = makeTextResponse(503, "");
-        refusal.headers.add("X-Bronzeshed-Not-Executed", "1");
-        exchange->respond(std::move(refusal));
+    const bool full = this->running.fetch_add(1) >= this->capacity.load();
+    if (full || current == UpstreamFault::Shed) {
+        --this->running;
+        exchange->respond(makeRefusal(id));
         return;
     }
     this->executions.add(id, this->name);
     const std::lock_guard lock(this->mutex);
     this->after(this->serviceTime.load(), [this, id, current, exchange] {
+        --this->running;
         if (current == UpstreamFault::LoseResponse) {
             exchange->drop();
         } else {
@@ -71,6 +74,14 @@
     return response;
 }
 
+HttpResponse RegisteredUpstream::makeRefusal(const std::string &requestId)
+{
+    HttpResponse refusal = makeTextResponse(503, "");
+    refusal.headers.add("X-Bronzeshed-Request-Id", requestId);
+    refusal.headers.add("X-Bronzeshed-Not-Executed", "1");
+    return refusal;
+}
+
 std::string RegisteredUpstream::responseBody(const std::string &requestId)
 {
     return "answer to " + requestId;
--- a/tests/gateway/registeredupstream.h
+++ b/tests/gateway/registeredupstream.h
@@ -5,6 +5,7 @@
 #include "standins/timerthread.h"
 
 #include <atomic>
+#include <climits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -46,6 +47,8 @@
     void setFault(UpstreamFault newFault) { this->fault.store(newFault); }
     /** Sets how long the execution of a request takes. */
     void setServiceTime(std::chrono::milliseconds time) { this->serviceTime.store(time); }
+    /** Sets how many requests may run at once; others are refused. */
+    void setCapacity(unsigned requests) { this->capacity.store(requests); }
     /** Returns the value of an upstream's registration in the store. */
     static std::string registration(const Endpoint &address, const std::string &service,
                                     const std::string &zone, const std::string &state);
@@ -54,11 +57,14 @@
 
 private:
     HttpResponse makeResponse(const std::string &requestId, unsigned status) const;
+    static HttpResponse makeRefusal(const std::string &requestId);
 
     std::string name;
     ExecutionLog &executions;
     std::atomic<UpstreamFault> fault{UpstreamFault::None};
     std::atomic<std::chrono::milliseconds> serviceTime{std::chrono::milliseconds(5)};
+    std::atomic<unsigned> capacity{UINT_MAX};
+    std::atomic<unsigned> running{0};
     HttpServer server;
     TimerThread thread;
 };
--- a/tests/http/responserulestest.cpp
+++ b/tests/http/responserulestest.cpp
@@ -2,6 +2,7 @@
 
 #include "rawpeer.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 
@@ -30,6 +31,15 @@
     return promise.get_future().get();
 }
 
+/** Sends a request of a protocol without ids. */
+ExchangeResult sendWithoutId(ConnectionPool &pool, const RawServer &server, AttemptId id)
+{
+    std::promise<ExchangeResult> promise;
+    pool.send(id, server.endpoint(), HttpRequest{}, ConnectionUse::AnyIdle, 5s,
+              [&](ExchangeResult end) { promise.set_value(std::move(end)); });
+    return promise.get_future().get();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(response_rules)
@@ -106,6 +116,83 @@
     BOOST_TEST(send(pool, server, AttemptId(2)).response.status == 200U);
 }
 
+// A server sends an earlier refusal once more while it runs the next request on the connection.
+// Guards against a caller that is told that its request has not run.
+BOOST_AUTO_TEST_CASE(a_copy_of_an_earlier_refusal_does_not_refuse_the_next_request)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nId: first\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([&](std::size_t request) {
+        return RawReply{request == 0 ? refusal : refusal + answer("second", "ran")};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    BOOST_TEST(send(pool, server, AttemptId(1), "first").response.status == 503U);
+    const ExchangeResult second = send(pool, server, AttemptId(2), "second");
+    BOOST_TEST(second.response.body == "ran");
+    BOOST_TEST(server.requests() == (std::vector<std::size_t>{0, 0}),
+               boost::test_tools::per_element());
+    BOOST_TEST(second.connection.use == 2U);
+    BOOST_TEST(second.connection.skippedResponses == 1U);
+}
+
+// The protocol has no ids. Guards against a late copy of a refusal that is taken for the answer to
+// the next request on the connection, which runs.
+BOOST_AUTO_TEST_CASE(a_connection_without_ids_is_closed_after_a_refusal)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    RawServer server([&](std::size_t request) {
+        const bool sameConnection = request > 0 && server.requests()[request] == 0;
+        if (request == 0) {
+            return RawReply{refusal};
+        }
+        return RawReply{(sameConnection ? refusal : "") + answer("", "ran")};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    BOOST_TEST(sendWithoutId(pool, server, AttemptId(1)).response.status == 503U);
+    BOOST_TEST(sendWithoutId(pool, server, AttemptId(2)).response.status == 200U);
+}
+
+// Guards against a trailer that changes what the header of a complete response has said, such as
+// the statement that the request has not run.
+BOOST_AUTO_TEST_CASE(a_trailer_does_not_change_a_response)
+{
+    RawServer server([](std::size_t) {
+        return RawReply{"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nok\r\n0\r\nNot-Executed: 1\r\n\r\n"};
+    });
+    ConnectionPool pool(ConnectionPoolLimits{});
+    const ExchangeResult result = send(pool, server, AttemptId(1));
+    BOOST_TEST(result.response.body == "ok");
+    BOOST_TEST(!result.response.headers.find("Not-Executed").has_value());
+}
+
+// Guards against a success with an empty or short body when a server stops in the middle of the
+// head of its response and closes the connection, whether it is a new or a kept one.
+BOOST_AUTO_TEST_CASE(a_response_that_breaks_off_in_its_head_is_no_answer)
+{
+    const std::string unframed = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\n";
+    const std::string framed = answer("mine", "body");
+    const std::string empty = answer("mine", "");
+    const std::string chunked
+        = "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (const std::string &whole : {unframed, framed, empty, chunked}) {
+        std::atomic<std::size_t> length{0};
+        RawServer server([&](std::size_t request) {
+            const bool first = request % 2 == 0;
+            return first ? RawReply{answer("mine", "first")}
+                         : RawReply{whole.substr(0, length.load()), RawReply::Close};
+        });
+        const std::size_t end = &whole == &chunked ? whole.size() : whole.size() - 1;
+        for (std::size_t cut = 0; cut <= end; ++cut) {
+            length.store(cut);
+            ConnectionPool pool(ConnectionPoolLimits{});
+            send(pool, server, AttemptId(1));
+            const ExchangeResult result = send(pool, server, AttemptId(2));
+            BOOST_TEST((result.status == ExchangeStatus::Failed),
+                       "accepted " << whole.substr(0, cut));
+        }
+    }
+}
+
 // Guards against closing a connection after each refusal, and against one that keeps the ids of
 // refused requests without limit while its server is overloaded.
 BOOST_AUTO_TEST_CASE(a_connection_is_used_for_other_requests_after_refusals)
--- a/tests/platform/wireheaderstest.cpp
+++ b/tests/platform/wireheaderstest.cpp
@@ -58,6 +58,36 @@
     BOOST_TEST(misdirected.draining);
 }
 
+// Guards against a success that is taken for a refusal, so that a request which has run is repeated
+// or reported as not run: the response contradicts itself.
+BOOST_AUTO_TEST_CASE(a_success_is_no_refusal)
+{
+    HttpHeaders contradictory = signedHeaders();
+    contradictory.add("X-Bronzeshed-Not-Executed", "1");
+    for (const unsigned status : {200U, 204U, 500U}) {
+        BOOST_CHECK(statusOf(answered(status, contradictory)) == AttemptStatus::Failed);
+    }
+}
+
+// Guards against the copy of an earlier refusal that is taken for the refusal of a request that
+// runs: without an id, it can be told from one only on a connection without earlier requests.
+BOOST_AUTO_TEST_CASE(a_refusal_on_a_kept_connection_needs_the_id)
+{
+    HttpHeaders anonymous;
+    anonymous.add("X-Bronzeshed-Not-Executed", "1");
+    HttpHeaders identified = anonymous;
+    identified.add("X-Bronzeshed-Request-Id", "id");
+    for (const unsigned status : {503U, 429U, 421U, 400U}) {
+        ExchangeResult result = answered(status, anonymous);
+        result.connection.use = 1;
+        BOOST_CHECK(statusOf(result) == AttemptStatus::NotStarted);
+        result.connection.use = 2;
+        BOOST_CHECK(statusOf(result) == AttemptStatus::Failed);
+        result.response.headers = identified;
+        BOOST_CHECK(statusOf(result) == AttemptStatus::NotStarted);
+    }
+}
+
 // Guards against forwarding a corrupted success to a caller: the response lacks the upstream's
 // signature or has a content encoding that was not requested.
 BOOST_AUTO_TEST_CASE(a_success_requires_the_signature)
