Date a follower's view by the age of the relay's copy, not by its answer

What was seen: instances in touch with the store answered by an old configuration after the relay of their zone had lost its watch (CONFIG). Cause: a follower took each answer of the relay as of the time of the answer, but the relay answers until its own copy is old, so both ages added up: 2.4 s at the relay and 1.7 s at the follower, before it asked the store. A lost watch alone hid changes from the relay for 2.9 s.

A relay now states in each answer when its copy was known to be complete, relative to the arrival of the call, and a follower dates its copy by that; rounding and the time on the way make it older, never newer. Waiting followers are answered as soon as the relay has confirmed its copy, so that they seldom ask more often than before. All ages together may grow to 2.1 s before the store is asked. A watch at the store lasts 0.6 s instead of 1.2 s, which bounds the relay itself by 2.3 s; the price is a call each 1.3 s instead of 1.9 s and relay.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -160,9 +160,9 @@
     this->loop.setState(std::move(state));
 }
 
-void GatewayProcess::replicaChanged()
+void GatewayProcess::replicaConfirmed()
 {
-    this->snapshotPort.replicaChanged();
+    this->snapshotPort.replicaConfirmed();
 }
 
 void GatewayProcess::registrationRead(const std::optional<StoreItem> &registration)
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -66,7 +66,7 @@
     std::string notReadyReason() override;
     std::string viewMetricsText() const;
     void stateChanged(FleetState state) override;
-    void replicaChanged() override;
+    void replicaConfirmed() override;
     void registrationRead(const std::optional<StoreItem> &registration) override;
     void roleChanged(ZoneRole role, const std::optional<Endpoint> &relay) override;
     void storeUnreachable() override;
--- a/src/gateway/relaywatchlimits.h
+++ b/src/gateway/relaywatchlimits.h
@@ -19,9 +19,10 @@
 
 /**
  * Leaves one silent relay its whole timeout and the next one a short check, and leaves time to ask
- * the store within the bound for a configuration to become active, 2.5 s at the least.
+ * the store within the bound for a configuration to become active, 2.5 s at the least. A relay that
+ * works confirms its own replica more often.
  */
-inline constexpr std::chrono::milliseconds MaxAgeFromRelays{1700};
+inline constexpr std::chrono::milliseconds MaxAgeFromRelays{2100};
 
 /**
  * Returns how long the next watch at a relay may last, or nothing if the store is to be asked
@@ -29,7 +30,7 @@
  *
  * Load pattern: some relays of a zone fall silent at once, while the store would answer. All
  * watches at relays together leave the replica no older than MaxAgeFromRelays.
- * @param age time since the replica was known to be complete
+ * @param age time since the replica was known to be complete, that of the relay included
  * @param storeReachable whether the store can be asked; if not, a relay is checked at any age
  */
 std::optional<RelayWatchLimits> nextRelayWatch(Duration age, bool storeReachable);
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -13,7 +13,7 @@
  * A watch may be lost while all other calls are answered, so its wait and its timeout bound the age
  * of the replica. Each watch is billed.
  */
-constexpr std::chrono::milliseconds WatchWait{1200};
+constexpr std::chrono::milliseconds WatchWait{600};
 /**
  * A watch that starts while the store drops its history may miss changes without being closed. A
  * short wait bounds the delay until the next watch detects the loss.
@@ -204,7 +204,7 @@
     }
     this->synchronized = true;
     if (mode == ReadMode::Linearizable) {
-        this->age.confirm(start);
+        this->confirm(range.confirmation, start, start);
     }
     // The relay, if one is known, adds at once what a stale read lacks, such as upstreams that
     // left.
@@ -230,6 +230,7 @@
             wait = std::clamp(left, std::chrono::milliseconds(1), maxWait);
         }
     }
+    const TimePoint start = std::chrono::steady_clock::now();
     const StoreChanges changes = source.watch("", after, wait, ReadMode::Linearizable);
     const TimePoint now = std::chrono::steady_clock::now();
     if (changes.historyLost) {
@@ -238,7 +239,7 @@
         this->degradedUntil = now + DegradedTime;
         return;
     }
-    this->age.confirm(now);
+    this->confirm(changes.confirmation, start, now);
     bool changed = false;
     {
         const std::lock_guard lock(this->mutex);
@@ -249,6 +250,12 @@
     this->publish(changed);
 }
 
+void StoreWatcher::confirm(const ReplicaConfirmation &confirmation, TimePoint start,
+                           TimePoint storeTime)
+{
+    this->age.confirm(confirmation ? std::min(start + *confirmation, storeTime) : storeTime);
+}
+
 void StoreWatcher::publishUnconfirmed()
 {
     if (std::exchange(this->unconfirmed, false)) {
@@ -281,7 +288,7 @@
         this->events.stateChanged(std::move(state));
     }
     // A deletion that may be an expiry leaves the state unchanged, but other entries must see it.
-    this->events.replicaChanged();
+    this->events.replicaConfirmed();
     if (this->synchronized) {
         this->events.registrationRead(registration);
     }
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -33,8 +33,8 @@
 public:
     virtual ~StoreWatcherEvents() = default;
     virtual void stateChanged(FleetState state) = 0;
-    /** The replica that other entries read has changed. */
-    virtual void replicaChanged() = 0;
+    /** The replica that other entries read has changed, or is known to be complete anew. */
+    virtual void replicaConfirmed() = 0;
     /** The registration of this entry in the store, or nothing if it is missing there. */
     virtual void registrationRead(const std::optional<StoreItem> &registration) = 0;
     /** The role of this entry has changed, or the relay that it follows. */
@@ -61,6 +61,7 @@
     StoreRange snapshot(ReadMode mode) override;
     StoreChanges changesSince(StoreRevision after) override;
     bool isCurrent() override;
+    TimePoint confirmedAt() override { return this->age.confirmedAt(); }
     void contactFrom(const InstanceId &watcher) override;
     bool registrationRequested(const InstanceId &id, const std::string &record) override;
     RelayDuties &relayDuties() { return this->duties; }
@@ -99,6 +100,8 @@
     bool mayRelay();
     /** Whether the replica has the registration of this entry. */
     bool isRegistered();
+    /** Dates the replica by an answer to a call that started at @p start. */
+    void confirm(const ReplicaConfirmation &confirmation, TimePoint start, TimePoint storeTime);
     void readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode);
     void watch(HttpMetadataStore &source, std::chrono::milliseconds maxWait);
     void queryPeers();
--- a/src/gateway/storewatcherrelay.cpp
+++ b/src/gateway/storewatcherrelay.cpp
@@ -22,6 +22,8 @@
 /** A failure within this time is a refusal, as sent by an entry that has just become the relay. */
 constexpr std::chrono::milliseconds RelayRefusalTime{100};
 constexpr std::chrono::milliseconds RelayRefusalPause{200};
+/** Pause between two checks of a relay whose replica is about to be confirmed. */
+constexpr std::chrono::milliseconds RelayCheckPause{100};
 constexpr unsigned MaxRelayRefusals = 4; ///< consecutive; then the relay is treated as failed
 
 } // namespace
@@ -85,6 +87,9 @@
         this->relaySilent = false;
         this->avoidedRelays.erase(relay->id);
         this->setRole(ZoneRole::Follower, relay->agentEndpoint);
+        if (limits->wait == ConfirmationWait) {
+            this->pause(RelayCheckPause);
+        }
         return true;
     } catch (const Error &error) {
         const TimePoint now = std::chrono::steady_clock::now();
--- a/src/platform/httpmetadatastore.cpp
+++ b/src/platform/httpmetadatastore.cpp
@@ -57,11 +57,13 @@
         if (mode == ReadMode::AllowStale) {
             target += "&allowStale=1";
         }
-        StorePage page = decodePage(this->call("GET", target, {}).body);
+        const HttpResponse response = this->call("GET", target, {});
+        StorePage page = decodePage(response.body);
         // Pages may be read at different revisions. A watch from the first page's revision delivers
         // the changes made between the pages.
         if (after.empty()) {
             all.asOf = page.range.asOf;
+            all.confirmation = readConfirmation(response);
         }
         for (StoreItem &item : page.range.items) {
             all.items.push_back(std::move(item));
@@ -88,7 +90,9 @@
         lost.historyLost = true;
         return lost;
     }
-    return decodeChanges(response.body);
+    StoreChanges changes = decodeChanges(response.body);
+    changes.confirmation = readConfirmation(response);
+    return changes;
 }
 
 LeaseId HttpMetadataStore::grantLease(std::chrono::milliseconds timeToLive)
--- a/src/platform/metadatastore.h
+++ b/src/platform/metadatastore.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESHED_PLATFORM_METADATASTORE_H
 #define BRONZESHED_PLATFORM_METADATASTORE_H
 
+#include "base/clock.h"
 #include "base/strongnumber.h"
 
 #include <chrono>
@@ -23,11 +24,18 @@
     LeaseId lease; ///< the key is deleted when this lease ends; 0 if there is none
 };
 
+/**
+ * When the replica of another entry was last known to be complete, from the start of the call that
+ * read it; negative if before. Nothing if the store itself answered.
+ */
+using ReplicaConfirmation = std::optional<std::chrono::milliseconds>;
+
 /** All items with a common key prefix. */
 struct StoreRange
 {
     std::vector<StoreItem> items;
     StoreRevision asOf; ///< store revision from which a watch continues
+    ReplicaConfirmation confirmation;
 };
 
 /** The write or deletion of a key. */
@@ -45,6 +53,7 @@
     std::vector<StoreEvent> events;
     StoreRevision asOf; ///< revision up to which the events are complete
     bool historyLost = false; ///< the store no longer holds all changes; read the range again
+    ReplicaConfirmation confirmation;
 };
 
 /** Required consistency of a read. */
--- a/src/platform/snapshotport.cpp
+++ b/src/platform/snapshotport.cpp
@@ -15,6 +15,8 @@
 constexpr unsigned StatusGone = 410;
 constexpr unsigned StatusUnavailable = 503;
 constexpr std::uint64_t MaxWaitMs = 30000;
+/** A shorter wait is not worth one, since expireWatches() is called a few times a second. */
+constexpr std::uint64_t MinWaitMs = 10;
 constexpr const char *RegistrationPath = "/registration";
 
 } // namespace
@@ -35,6 +37,7 @@
 
 void SnapshotPort::handleRange(const HttpRequest &request, HttpExchange &exchange)
 {
+    const TimePoint arrival = std::chrono::steady_clock::now();
     const bool allowStale = request.queryValue("allowStale") == "1";
     const StoreRange range
         = this->source.snapshot(allowStale ? ReadMode::AllowStale : ReadMode::Linearizable);
@@ -42,7 +45,7 @@
         exchange.respond(makeTextResponse(StatusUnavailable, "the copy is not current\n"));
         return;
     }
-    exchange.respond(makeJsonResponse(StatusOk, encodePage(range)));
+    this->respond(exchange, encodePage(range), arrival);
 }
 
 void SnapshotPort::handleWatch(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange)
@@ -57,11 +60,11 @@
     if (!watcher.isEmpty()) {
         this->source.contactFrom(watcher);
     }
-    Watch watch{StoreRevision(*after),
-                std::chrono::steady_clock::now() + std::chrono::milliseconds(*wait),
+    const TimePoint arrival = std::chrono::steady_clock::now();
+    Watch watch{StoreRevision(*after), arrival, arrival + std::chrono::milliseconds(*wait),
                 request.queryValue("allowStale") == "1", std::move(exchange)};
     const std::lock_guard lock(this->mutex);
-    if (!this->answer(watch, false)) {
+    if (!this->answer(watch, *wait < MinWaitMs)) {
         this->watches.push_back(std::move(watch));
     }
 }
@@ -91,10 +94,20 @@
     if (changes.events.empty() && !respondWithoutChanges) {
         return false;
     }
-    watch.exchange->respond(makeJsonResponse(StatusOk, this->encode(changes, watch.after)));
+    this->respond(*watch.exchange, this->encode(changes, watch.after), watch.arrival);
     return true;
 }
 
+void SnapshotPort::respond(HttpExchange &exchange, std::string body, TimePoint arrival)
+{
+    HttpResponse response = makeJsonResponse(StatusOk, std::move(body));
+    // Rounded down, so that the replica never seems newer than it is.
+    addConfirmation(
+        response,
+        std::chrono::floor<std::chrono::milliseconds>(this->source.confirmedAt() - arrival));
+    exchange.respond(std::move(response));
+}
+
 const std::string &SnapshotPort::encode(const StoreChanges &changes, StoreRevision after)
 {
     if (this->encoded.empty() || after != this->encodedAfter || changes.asOf != this->encodedAsOf) {
@@ -105,10 +118,10 @@
     return this->encoded;
 }
 
-void SnapshotPort::replicaChanged()
+void SnapshotPort::replicaConfirmed()
 {
     const std::lock_guard lock(this->mutex);
-    std::erase_if(this->watches, [this](const Watch &watch) { return this->answer(watch, false); });
+    std::erase_if(this->watches, [this](const Watch &watch) { return this->answer(watch, true); });
 }
 
 void SnapshotPort::expireWatches(TimePoint now)
--- a/src/platform/snapshotport.h
+++ b/src/platform/snapshotport.h
@@ -26,6 +26,8 @@
     virtual StoreChanges changesSince(StoreRevision after) = 0;
     /** Whether the replica is currently in sync with the store. */
     virtual bool isCurrent() = 0;
+    /** When the replica was last known to be complete. */
+    virtual TimePoint confirmedAt() = 0;
     /** Called for each watch of an entry that identifies itself. */
     virtual void contactFrom(const InstanceId &watcher) = 0;
     /**
@@ -51,8 +53,10 @@
 
     void handleRequest(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override;
 
-    /** Completes the watches for which there are changes. Thread-safe. */
-    void replicaChanged();
+    /**
+     * Completes all watches: with the changes, or with the news that there are none. Thread-safe.
+     */
+    void replicaConfirmed();
     /** Completes the watches whose wait has ended. Call a few times a second. Thread-safe. */
     void expireWatches(TimePoint now);
 
@@ -60,11 +64,14 @@
     struct Watch
     {
         StoreRevision after;
+        TimePoint arrival;
         TimePoint end;
         bool allowStale = false; ///< accepts a replica that is not in sync with the store
         std::shared_ptr<HttpExchange> exchange;
     };
 
+    /** Responds with a part of the replica and states how old it is. */
+    void respond(HttpExchange &exchange, std::string body, TimePoint arrival);
     void handleRange(const HttpRequest &request, HttpExchange &exchange);
     void handleWatch(const HttpRequest &request, std::shared_ptr<HttpExchange> exchange);
     void handleRegistration(const HttpRequest &request, HttpExchange &exchange);
--- a/src/platform/storecodec.cpp
+++ b/src/platform/storecodec.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 
 namespace bronzeshed {
 
@@ -13,6 +14,7 @@
 namespace {
 
 const std::string Remedy = "check the platform's metadata store";
+constexpr const char *ConfirmationHeader = "Bronzeshed-Confirmed-After-Ms";
 
 json::object parseObject(std::string_view body)
 {
@@ -159,6 +161,28 @@
         json::object{{"events", std::move(events)}, {"asOf", changes.asOf.value()}});
 }
 
+void addConfirmation(HttpResponse &response, std::chrono::milliseconds afterStartOfCall)
+{
+    response.headers.set(ConfirmationHeader, std::to_string(afterStartOfCall.count()));
+}
+
+ReplicaConfirmation readConfirmation(const HttpResponse &response)
+{
+    const auto text = response.headers.find(ConfirmationHeader);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::int64_t milliseconds = 0;
+    const char *end = text->data() + text->size();
+    const auto [parsedEnd, error] = std::from_chars(text->data(), end, milliseconds);
+    if (error != std::errc() || parsedEnd != end) {
+        throw ProtocolError("the replica's confirmation '" + std::string(*text)
+                                + "' is not a number of milliseconds",
+                            "compare the releases of the instances");
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
 LeaseId decodeLease(std::string_view body)
 {
     return LeaseId(readNumber(parseObject(body), "lease"));
--- a/src/platform/storecodec.h
+++ b/src/platform/storecodec.h
@@ -1,6 +1,7 @@
 #ifndef BRONZESHED_PLATFORM_STORECODEC_H
 #define BRONZESHED_PLATFORM_STORECODEC_H
 
+#include "http/httpmessage.h"
 #include "platform/metadatastore.h"
 
 #include <string>
@@ -25,6 +26,11 @@
 
 std::string encodeChanges(const StoreChanges &changes);
 
+/** States in the answer to a call when the replica was last known to be complete. */
+void addConfirmation(HttpResponse &response, std::chrono::milliseconds afterStartOfCall);
+/** @throws ProtocolError if the statement is malformed */
+ReplicaConfirmation readConfirmation(const HttpResponse &response);
+
 /** Decodes a granted lease. @throws ProtocolError if @p body contains no lease id */
 LeaseId decodeLease(std::string_view body);
 
