Close a connection of a protocol without ids after a refusal

Callers of an entry could be told that a request has not run which an upstream was running: a faulty upstream that writes an earlier refusal once more on a kept connection refuses the next request there, as responses of the native protocol have no id that shows the difference. The dispatcher then repeats the request elsewhere, so that it could run twice.

A connection of such a protocol is no longer kept after a server error, with which its upstreams refuse. Copies of successes can't be told apart without an id; that stays open.

Evidence: response_rules/a_connection_without_ids_is_closed_after_a_refusal failed before (503 instead of 200) and passes; http-test has no other new failure, entry-test passes.

--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -46,6 +46,8 @@
 constexpr unsigned MaxInterimResponses = 8;
 constexpr unsigned FirstSuccess = 200;
 constexpr unsigned FirstRedirect = 300;
+/** Upstreams of a protocol without ids refuse a request with a server error. */
+constexpr unsigned FirstServerError = 500;
 
 /** Parses the "timeout" parameter of a Keep-Alive header, in seconds. */
 std::optional<std::uint64_t> keepAliveSeconds(std::string_view header)
@@ -389,8 +391,10 @@
 {
     // A late second copy of a refusal without an id could not be told from the refusal of the next
     // request on the connection, which would then be repeated although it runs.
-    const bool copiesDetectable = this->rules.echoHeader.empty() || this->isSuccess()
-        || (this->hasEcho() && !this->rules.echoValue.empty());
+    const bool withoutIds = this->rules.echoHeader.empty();
+    const bool copiesDetectable = this->isSuccess()
+        || (withoutIds ? this->parser->get().result_int() < FirstServerError
+                       : this->hasEcho() && !this->rules.echoValue.empty());
     // Bytes after the response would be parsed as the response of the next exchange.
     const bool reusable = this->parser->keep_alive() && this->connection->buffer.size() == 0
         && this->skippedResponses == 0 && copiesDetectable;
