Keep trailers out of the headers of an upstream's response

A caller could be told that its request has not run after an upstream had run it: Beast adds trailers to the headers, so a trailer after a complete success was read as the statement that nothing ran, and a trailer could also state the id by which a response belongs to a request.

The headers are now taken when they are complete, before the body is parsed, and trailers are dropped. The buffered part of a message is still parsed without a turn of the event loop.

Evidence: response_rules/a_trailer_does_not_change_a_response failed before and passes; http-test and entry-test pass.

--- a/src/http/beastmessage.cpp
+++ b/src/http/beastmessage.cpp
@@ -94,16 +94,23 @@
     return serialize(message);
 }
 
-HttpResponse fromBeastResponse(BeastResponse &&message)
+HttpHeaders fromBeastHeaders(const BeastResponse &message)
 {
-    HttpResponse response;
-    response.status = message.result_int();
+    HttpHeaders headers;
     for (const auto &field : message) {
         const std::string_view name(field.name_string());
         if (!isConnectionHeader(name)) {
-            response.headers.add(name, std::string_view(field.value()));
+            headers.add(name, std::string_view(field.value()));
         }
     }
+    return headers;
+}
+
+HttpResponse fromBeastResponse(BeastResponse &&message)
+{
+    HttpResponse response;
+    response.status = message.result_int();
+    response.headers = fromBeastHeaders(message);
     response.body = std::move(message.body());
     return response;
 }
--- a/src/http/beastmessage.h
+++ b/src/http/beastmessage.h
@@ -23,6 +23,8 @@
  */
 std::string formatResponse(const HttpResponse &response, bool keepAlive, bool headOnly);
 
+/** Converts the headers of a received response. Connection headers are omitted. */
+HttpHeaders fromBeastHeaders(const BeastResponse &message);
 /** Converts a received response. Connection headers are omitted. */
 HttpResponse fromBeastResponse(BeastResponse &&message);
 
--- a/src/http/connectionpool.cpp
+++ b/src/http/connectionpool.cpp
@@ -145,6 +145,7 @@
     bool headOnly;
     std::string message; ///< serialized request
     std::optional<http::response_parser<http::string_body>> parser;
+    HttpHeaders headers; ///< of the response, without its trailers
     std::unique_ptr<PooledConnection> connection;
     bool writing = false;
     bool cancelled = false;
@@ -255,7 +256,7 @@
     this->parser.emplace();
     this->parser->body_limit(this->rules.bodyBytes.value_or(this->pool->limits.bodyBytes));
     this->parser->skip(this->headOnly);
-    if (parseBuffered(*this->parser, this->connection->buffer)) {
+    if (parseBuffered(*this->parser, this->connection->buffer, ParseEnd::Header)) {
         this->fail();
         return;
     }
@@ -288,12 +289,18 @@
         this->readHeader();
         return;
     }
+    // Beast adds trailers to the headers, but they must not change what the headers have said.
+    this->headers = fromBeastHeaders(this->parser->get());
     const bool closeDelimited = this->parser->need_eof();
     if (status == SwitchingProtocols || (closeDelimited && !this->rules.acceptCloseDelimited)) {
         // Without a length or chunks, a truncated response cannot be detected.
         this->fail();
         return;
     }
+    if (parseBuffered(*this->parser, this->connection->buffer)) {
+        this->fail();
+        return;
+    }
     this->readBody();
 }
 
@@ -347,7 +354,11 @@
     this->pool->idle.recordResponse(this->endpoint);
     const ConnectionTrace trace = this->trace();
     this->returnToPool();
-    this->finish({ExchangeStatus::Answered, fromBeastResponse(this->parser->release()), trace});
+    HttpResponse response;
+    response.status = this->parser->get().result_int();
+    response.headers = std::move(this->headers);
+    response.body = std::move(this->parser->get().body());
+    this->finish({ExchangeStatus::Answered, std::move(response), trace});
 }
 
 bool ConnectionPool::Implementation::Exchange::isSuccess() const
@@ -358,7 +369,7 @@
 
 bool ConnectionPool::Implementation::Exchange::hasEcho() const
 {
-    return this->parser->get().count(this->rules.echoHeader) > 0;
+    return this->headers.find(this->rules.echoHeader).has_value();
 }
 
 bool ConnectionPool::Implementation::Exchange::answersEarlierRequest() const
@@ -366,8 +377,8 @@
     if (this->rules.echoHeader.empty()) {
         return false;
     }
-    if (this->hasEcho()) {
-        return this->parser->get()[this->rules.echoHeader] != this->rules.echoValue;
+    if (const auto echo = this->headers.find(this->rules.echoHeader)) {
+        return *echo != this->rules.echoValue;
     }
     // A success without an id answers an earlier request that had none, such as a probe.
     return !this->rules.echoValue.empty() && this->isSuccess();
--- a/src/http/directtransfer.h
+++ b/src/http/directtransfer.h
@@ -15,16 +15,23 @@
  */
 std::size_t trySend(int socket, const std::string &bytes);
 
+/** How far buffered bytes are parsed. */
+enum class ParseEnd { Header, Message };
+
 /**
- * Parses buffered bytes until the message is complete or more bytes are needed. Avoids Beast's read
- * operations, which return to the event loop for each step. For adapter sources only.
+ * Parses buffered bytes until the header or the message is complete or more bytes are needed.
+ * Avoids Beast's read operations, which return to the event loop for each step. For adapter sources
+ * only.
  */
 template<typename Parser>
-boost::beast::error_code parseBuffered(Parser &parser, boost::beast::flat_buffer &buffer)
+boost::beast::error_code parseBuffered(Parser &parser, boost::beast::flat_buffer &buffer,
+                                       ParseEnd end = ParseEnd::Message)
 {
     boost::beast::error_code error;
-    parser.eager(true);
-    while (buffer.size() > 0 && !parser.is_done()) {
+    parser.eager(end == ParseEnd::Message);
+    const auto isParsed
+        = [&] { return end == ParseEnd::Message ? parser.is_done() : parser.is_header_done(); };
+    while (buffer.size() > 0 && !isParsed()) {
         const std::size_t used = parser.put(buffer.data(), error);
         buffer.consume(used);
         if (error == boost::beast::http::error::need_more) {
