Print the addresses of a starting process as whole lines

Whoever starts a process could read a wrong address: the line was printed in parts, and a log line of another thread could come between them. The line is now printed by one call, in all programs.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -11,7 +11,6 @@
 #include "rpc/agentserver.h"
 #include "rpc/peerclient.h"
 
-#include <iostream>
 
 namespace bronzeshed {
 
@@ -70,7 +69,7 @@
     Gossip gossip(state, gossipRandom);
     AgentServer server(settings.endpoint("listen"), state, gossip, counters);
     state.setAgentEndpoint(server.localEndpoint());
-    std::cout << "listening " << server.localEndpoint().toString() << std::endl;
+    printAddress("listening", server.localEndpoint());
 
     std::atomic<bool> stopping{false};
     const auto cancelWatch = [&] { return stopping.load() || state.needsConfirmation(); };
@@ -85,8 +84,8 @@
     AgentMetrics metrics(state, counters);
     AdminPort adminPort(metrics);
     HttpServer admin(settings.endpoint("admin-listen"), HttpLimits{}, adminPort);
-    std::cout << "admin-listening " << admin.localEndpoint().toString() << std::endl;
-    std::cout << "operator-listening " << operators.localEndpoint().toString() << std::endl;
+    printAddress("admin-listening", admin.localEndpoint());
+    printAddress("operator-listening", operators.localEndpoint());
 
     runUntilStopped(signals, state, counters,
                     settings.milliseconds("totals-period-ms", 100, 86400000));
--- a/src/base/program.cpp
+++ b/src/base/program.cpp
@@ -48,6 +48,11 @@
     return first ? StopRequest::Graceful : StopRequest::Immediate;
 }
 
+void printAddress(std::string_view label, const Endpoint &address)
+{
+    std::cout << std::string(label) + " " + address.toString() + "\n" << std::flush;
+}
+
 int runProgram(int argc, char *const *argv, Settings &settings,
                const std::function<void(const Settings &)> &check,
                const std::function<int(const Settings &)> &run)
--- a/src/base/program.h
+++ b/src/base/program.h
@@ -5,6 +5,7 @@
 #include "base/settings.h"
 
 #include <functional>
+#include <string_view>
 
 namespace bronzeshed {
 
@@ -29,6 +30,12 @@
     unsigned received = 0;
 };
 
+/**
+ * Prints the line "LABEL ADDRESS" to standard output, for whoever starts the process. The line is
+ * written at once, since other threads may log meanwhile.
+ */
+void printAddress(std::string_view label, const Endpoint &address);
+
 /**
  * Runs a program: reads its settings, sets up logging and prints errors to standard error.
  * @param run main function of the program; its result is the exit code
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -2,7 +2,6 @@
 #include "entry/entryprocess.h"
 
 #include <cstdlib>
-#include <iostream>
 
 namespace bronzeshed {
 
@@ -47,8 +46,8 @@
 {
     SignalMonitor signals;
     EntryProcess entry(readOptions(settings));
-    std::cout << "listening " << entry.callerEndpoint().toString() << std::endl;
-    std::cout << "admin-listening " << entry.adminEndpoint().toString() << std::endl;
+    printAddress("listening", entry.callerEndpoint());
+    printAddress("admin-listening", entry.adminEndpoint());
     while (signals.wait(PollPeriod) == StopRequest::None) {
         entry.collectMetrics();
     }
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -3,7 +3,6 @@
 #include "gateway/gatewayprocess.h"
 
 #include <csignal>
-#include <iostream>
 
 namespace bronzeshed {
 
@@ -79,10 +78,10 @@
     logToStandardOutput();
     SignalMonitor signals;
     GatewayProcess gateway(readOptions(settings));
-    std::cout << "listening " << gateway.callerEndpoint().toString() << "\n"
-              << "lookups-listening " << gateway.lookupEndpoint().toString() << "\n"
-              << "readiness-listening " << gateway.readinessEndpoint().toString() << "\n"
-              << "admin-listening " << gateway.adminEndpoint().toString() << std::endl;
+    printAddress("listening", gateway.callerEndpoint());
+    printAddress("lookups-listening", gateway.lookupEndpoint());
+    printAddress("readiness-listening", gateway.readinessEndpoint());
+    printAddress("admin-listening", gateway.adminEndpoint());
     LogLine("started")
         .add("instance", settings.text("instance"))
         .add("callers", gateway.callerEndpoint().toString())
--- a/src/standins/platformmain.cpp
+++ b/src/standins/platformmain.cpp
@@ -2,7 +2,6 @@
 #include "standins/platformhandler.h"
 #include "standins/timerthread.h"
 
-#include <iostream>
 
 namespace bronzeshed {
 
@@ -17,7 +16,7 @@
     PlatformHandler handler(clock);
     const TimerThread timers(handler);
     HttpServer server(settings.endpoint("listen"), HttpLimits{}, handler);
-    std::cout << "listening " << server.localEndpoint().toString() << std::endl;
+    printAddress("listening", server.localEndpoint());
     while (signals.wait(SignalPoll) == StopRequest::None) { }
     server.stop();
     return 0;
--- a/src/standins/upstreammain.cpp
+++ b/src/standins/upstreammain.cpp
@@ -2,7 +2,6 @@
 #include "standins/timerthread.h"
 #include "standins/upstreamhandler.h"
 
-#include <iostream>
 
 namespace bronzeshed {
 
@@ -36,7 +35,7 @@
     UpstreamHandler handler(readOptions(settings), clock, makeSystemRandom().next());
     const TimerThread timers(handler);
     HttpServer server(settings.endpoint("listen"), HttpLimits{}, handler);
-    std::cout << "listening " << server.localEndpoint().toString() << std::endl;
+    printAddress("listening", server.localEndpoint());
     while (signals.wait(SignalPoll) == StopRequest::None) { }
     server.stop();
     return 0;
