Let the callers of the soaks keep their connections

The soaks opened a connection for each request, so that nothing was sent on a connection that a gateway closes, at a planned stop above all, although callers of the platform keep theirs. Each caller now has a pool of its own.

--- a/tests/gateway/soakrun.cpp
+++ b/tests/gateway/soakrun.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <future>
 #include <iostream>
 #include <map>
 #include <sstream>
@@ -14,6 +15,9 @@
 
 namespace {
 
+/** Time that a caller waits. */
+constexpr std::chrono::milliseconds TimeLimit{800};
+
 std::string environmentValue(const char *name, const std::string &fallback)
 {
     const char *value = std::getenv(name);
@@ -55,9 +59,13 @@
     result.id = id;
     result.idempotent = random.below(2) == 0;
     const auto &gateway = deployment.gateways[random.below(deployment.gateways.size())];
-    const HttpResponse response
-        = GatewayDeployment::call(gateway.callers, result.idempotent ? "GET" : "POST",
-                                  result.idempotent ? "/reads/x" : "/orders/x", id, 800ms);
+    HttpRequest request;
+    request.method = result.idempotent ? "GET" : "POST";
+    request.target = result.idempotent ? "/reads/x" : "/orders/x";
+    request.authority = "h.example";
+    request.headers.add("X-Bronzeshed-Request-Id", id);
+    request.headers.add("X-Bronzeshed-Request-Deadline-Ms", std::to_string(TimeLimit.count()));
+    const HttpResponse response = this->exchange(gateway.callers, request);
     result.status = response.status;
     if (result.status != 200) {
         result.reason = std::to_string(result.status) + " "
@@ -70,6 +78,20 @@
     std::this_thread::sleep_for(5ms);
 }
 
+HttpResponse SoakCaller::exchange(const Endpoint &gateway, const HttpRequest &request)
+{
+    std::promise<ExchangeResult> end;
+    this->lastExchange = this->lastExchange.next();
+    this->connections.send(this->lastExchange, gateway, request, ConnectionUse::AnyIdle,
+                           TimeLimit + 1s,
+                           [&end](ExchangeResult result) { end.set_value(std::move(result)); });
+    ExchangeResult result = end.get_future().get();
+    if (result.status != ExchangeStatus::Answered) {
+        result.response.status = 0;
+    }
+    return std::move(result.response);
+}
+
 void stopAsPlanned(TestGateway &gateway)
 {
     gateway.process->signal(SIGTERM);
--- a/tests/gateway/soakrun.h
+++ b/tests/gateway/soakrun.h
@@ -4,6 +4,7 @@
 #include "gatewaydeployment.h"
 
 #include "base/random.h"
+#include "http/connectionpool.h"
 
 #include <atomic>
 #include <functional>
@@ -20,7 +21,10 @@
     bool intact = true; ///< a successful response was complete and belonged to this request
 };
 
-/** Sends the requests of one caller on a separate thread until @p stopping is set. */
+/**
+ * Sends the requests of one caller on a separate thread until @p stopping is set. Like the callers
+ * of the platform, it keeps its connections and uses them until the gateway closes them.
+ */
 class SoakCaller
 {
 public:
@@ -37,6 +41,10 @@
 
 private:
     void sendRequest(const GatewayDeployment &deployment, Random &random, const std::string &id);
+    HttpResponse exchange(const Endpoint &gateway, const HttpRequest &request);
+
+    ConnectionPool connections{ConnectionPoolLimits{}};
+    AttemptId lastExchange;
 
     std::thread thread;
     std::atomic<bool> &stopping;
