--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -11,7 +11,6 @@
 #include "rpc/agentserver.h"
 #include "rpc/peerclient.h"
 
-
 namespace bronzeshed {
 
 namespace {
--- a/src/standins/platformmain.cpp
+++ b/src/standins/platformmain.cpp
@@ -2,7 +2,6 @@
 #include "standins/platformhandler.h"
 #include "standins/timerthread.h"
 
-
 namespace bronzeshed {
 
 namespace {
--- a/src/standins/upstreammain.cpp
+++ b/src/standins/upstreammain.cpp
@@ -2,7 +2,6 @@
 #include "standins/timerthread.h"
 #include "standins/upstreamhandler.h"
 
-
 namespace bronzeshed {
 
 namespace {
