--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -100,7 +100,10 @@
     bool mayRelay();
     /** Whether the replica has the registration of this entry. */
     bool isRegistered();
-    /** Dates the replica by an answer to a call that started at @p start. */
+    /**
+     * Dates the replica by the answer to a call that started at @p start.
+     * @param storeTime when the replica was complete if the store itself answered
+     */
     void confirm(const ReplicaConfirmation &confirmation, TimePoint start, TimePoint storeTime);
     void readAll(HttpMetadataStore &source, std::string_view name, ReadMode mode);
     void watch(HttpMetadataStore &source, std::chrono::milliseconds maxWait);
